--- /dev/null
+++ b/src/bin/hillpick-benchlink/settings.rs
@@ -0,0 +1,300 @@
+//! The settings text of a `spawn`: JSON in the wire's words, turned into the module's [`Settings`].
+
+use hillpick::{Class, Goal, Limits, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant};
+use serde::Deserialize;
+use std::time::Duration;
+
+/// A load report's columns, in the order of their values.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Column {
+    Concurrent,
+    Depth,
+    LoadShare,
+    MeanMs,
+    Tps,
+    ErrPs,
+    #[serde(other)]
+    Unknown,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Idempotency {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Via {
+    Piggyback,
+    Pull,
+    #[default]
+    Silent,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Mode {
+    #[default]
+    Push,
+    Ask,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CountedBy {
+    #[default]
+    Request,
+    Work,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawClass {
+    #[serde(default)]
+    aim_stretch: f64,
+    target: f64,
+    give_up: f64,
+    idempotency: Idempotency,
+    #[serde(default)]
+    group: Group,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    window: f64,
+    #[serde(default = "one")]
+    credit: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawTenant {
+    #[serde(default)]
+    allowance_per_s: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct RawReport {
+    columns: Vec<Column>,
+    via: Via,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct RawLimits {
+    attempts_cap: u32,
+    cancel: bool,
+    connect_timeout: f64,
+    max_retry_after: f64,
+    parallel_tries: bool,
+    probes: bool,
+    retry_after: bool,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        RawLimits {
+            attempts_cap: 1,
+            cancel: false,
+            connect_timeout: 250.0,
+            max_retry_after: 0.0,
+            parallel_tries: false,
+            probes: false,
+            retry_after: false,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct RawPrices {
+    probe: f64,
+    cross_zone: f64,
+    waste: f64,
+    late_fail: f64,
+    connection: f64,
+    handshake: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct RawGoal {
+    whole: f64,
+    worst_class: f64,
+    worst_tenant: f64,
+    worst_window: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct RawRules {
+    must_ask_in: f64,
+    cold_from: f64,
+    drain_grace: f64,
+    overload_factor: f64,
+    ramp_time: f64,
+    tip_after: f64,
+}
+
+impl Default for RawRules {
+    fn default() -> Self {
+        RawRules {
+            must_ask_in: 10_000.0,
+            cold_from: 1.0,
+            drain_grace: 0.0,
+            overload_factor: 1.0,
+            ramp_time: 0.0,
+            tip_after: 1000.0,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Raw {
+    #[serde(default = "one_node")]
+    n_instances: u32,
+    #[serde(default)]
+    ordinal: u32,
+    #[serde(default)]
+    zone: u8,
+    classes: Vec<RawClass>,
+    #[serde(default)]
+    projects: Vec<RawTenant>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    #[serde(default)]
+    counted_by: CountedBy,
+    #[serde(default)]
+    load_report: RawReport,
+    #[serde(default)]
+    permissions: RawLimits,
+    #[serde(default)]
+    rules: RawRules,
+    #[serde(default)]
+    prices: RawPrices,
+    #[serde(default)]
+    goal: RawGoal,
+    #[serde(default)]
+    registry_mode: Mode,
+    #[serde(default = "one")]
+    quantum: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn one_node() -> u32 {
+    1
+}
+
+/// A number of milliseconds as a time; whatever is no time at all becomes zero or the longest kept.
+pub fn millis(ms: f64) -> Duration {
+    const LONGEST_US: f64 = 1e18;
+    Duration::from_micros((ms * 1000.0).round().clamp(0.0, LONGEST_US) as u64)
+}
+
+/// Reads the settings, and which value of a load report is which.
+pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
+    let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("bad settings: {e}"))?;
+    if raw.classes.is_empty() {
+        return Err("bad settings: no classes".into());
+    }
+    let settings = Settings {
+        nodes: raw.n_instances.max(1),
+        node: raw.ordinal,
+        zone: raw.zone,
+        classes: raw.classes.iter().map(class).collect(),
+        tenants: raw
+            .projects
+            .iter()
+            .map(|t| Tenant { allowance_per_s: t.allowance_per_s, share: t.share })
+            .collect(),
+        over_share_worth: raw.over_share_worth,
+        worth_by_work: matches!(raw.counted_by, CountedBy::Work),
+        reports: match raw.load_report.via {
+            Via::Piggyback => ReportSource::Answers,
+            Via::Pull => ReportSource::Probes,
+            Via::Silent => ReportSource::None,
+        },
+        limits: limits(&raw.permissions),
+        rules: rules(&raw.rules),
+        prices: Prices {
+            probe: raw.prices.probe,
+            cross_zone: raw.prices.cross_zone,
+            waste: raw.prices.waste,
+            late_failure: raw.prices.late_fail,
+            connections: raw.prices.connection + raw.prices.handshake,
+        },
+        goal: Goal {
+            whole: raw.goal.whole,
+            worst_window: raw.goal.worst_window,
+            worst_class: raw.goal.worst_class,
+            worst_tenant: raw.goal.worst_tenant,
+        },
+        list_on_request: matches!(raw.registry_mode, Mode::Ask),
+        tick: millis(raw.quantum),
+    };
+    Ok((settings, raw.load_report.columns))
+}
+
+fn class(raw: &RawClass) -> Class {
+    let scope = match raw.group {
+        Group::All => Scope::All,
+        Group::Zone => Scope::Zone,
+        Group::Cell => Scope::Cell,
+    };
+    Class {
+        aim: millis(raw.target),
+        aim_stretch: raw.aim_stretch,
+        deadline: millis(raw.give_up),
+        worth: raw.credit,
+        late_worth: raw.late_worth,
+        repeat: match raw.idempotency {
+            Idempotency::Free => Repeat::Safe,
+            Idempotency::Guarded => Repeat::Keyed { scope, window: millis(raw.window) },
+            Idempotency::SingleShot => Repeat::Unsafe,
+        },
+        streamed: raw.stream,
+    }
+}
+
+fn limits(raw: &RawLimits) -> Limits {
+    Limits {
+        max_attempts: raw.attempts_cap,
+        cancel: raw.cancel,
+        probes: raw.probes,
+        parallel_attempts: raw.parallel_tries,
+        max_retry_after: raw.retry_after.then(|| millis(raw.max_retry_after)),
+        connect_timeout: millis(raw.connect_timeout),
+    }
+}
+
+fn rules(raw: &RawRules) -> Rules {
+    Rules {
+        drain_grace: millis(raw.drain_grace),
+        cold_share: raw.cold_from,
+        warm_after: millis(raw.ramp_time),
+        overload_factor: raw.overload_factor,
+        overload_time: millis(raw.tip_after),
+        ask_within: millis(raw.must_ask_in),
+    }
+}
--- /dev/null
+++ b/src/bin/hillpick-benchlink/wire_tests.rs
@@ -0,0 +1,244 @@
+use super::*;
+use hillpick::{AttemptEnd, ProbeEnd};
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
+    digits
+        .chunks(2)
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).expect("ascii"), 16).expect("hex"))
+        .collect()
+}
+
+fn padded(text: &str, size: usize) -> Vec<u8> {
+    let mut bytes = hex(text);
+    bytes.resize(size, 0);
+    bytes
+}
+
+fn batch(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::new();
+    frame.extend(12u32.to_be_bytes());
+    frame.extend((records.len() as u32).to_be_bytes());
+    frame.extend(((records.len() * EVENT + tail.len()) as u32).to_be_bytes());
+    frame.extend(hex("40c06e2000000000"));
+    records.iter().for_each(|record| frame.extend(record));
+    frame.extend(tail);
+    frame
+}
+
+fn read(frame: &[u8]) -> Result<Vec<(u16, Input)>, String> {
+    let batch = read_batch(&mut &frame[..])?.expect("a batch");
+    batch.records().collect()
+}
+
+fn one(record: &str, tail: &str) -> (u16, Input) {
+    read(&batch(&[padded(record, EVENT)], &hex(tail))).expect("legal").remove(0)
+}
+
+fn ms(ms: f64) -> Duration {
+    millis(ms)
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    let frame = hex("00000001 00000000 00000000 40c06e2000000000");
+    let batch = read_batch(&mut &frame[..]).expect("legal").expect("a batch");
+    assert_eq!((batch.number, batch.clock, batch.records().count()), (1, ms(8412.25), 0));
+    assert_eq!(Reply::default().frame(1), hex("00000001 00000000 00000000"));
+}
+
+#[test]
+fn the_shown_batch_of_two_instances_reads_as_told() {
+    let records = [
+        padded(
+            "03 0003 000fb0475d3a91c4 0000 0000 91f03b7c55d20a64 406e000000000000 4028000000000000 01",
+            EVENT,
+        ),
+        padded("07 0003 000000000000004d", EVENT),
+        padded("06 0005 0004ed230e6f2b19", EVENT),
+    ];
+    let frame = batch(&records, &[]);
+    assert_eq!(frame[..12], hex("0000000c 00000003 00000090"));
+    let request = NewRequest {
+        id: RequestId(0x000f_b047_5d3a_91c4),
+        class: 0,
+        tenant: 0,
+        key: 0x91f0_3b7c_55d2_0a64,
+        remaining: ms(240.0),
+        cost: Some(ms(12.0)),
+        client_retry: false,
+    };
+    assert_eq!(
+        read(&frame).expect("legal"),
+        [
+            (3, Input::Event(Event::Request(request), None)),
+            (3, Input::Event(Event::Timer { token: 0x4d }, None)),
+            (5, Input::Event(Event::ClientGone { id: RequestId(0x0004_ed23_0e6f_2b19) }, None)),
+        ]
+    );
+}
+
+#[test]
+fn the_shown_reply_of_two_records_and_a_log_line_is_byte_exact() {
+    let mut reply = Reply::default();
+    let server = ServerId(0x0a12_4a07_1b5b);
+    reply.push(3, &Action::Send { id: RequestId(0x000f_b047_5d3a_91c4), server, timeout: ms(80.0) });
+    reply.push(3, &Action::SetTimer { after: ms(500.0), token: 0x4d });
+    reply.push(5, &Action::Log { text: "two servers known".into() });
+    let mut expected = hex("0000000c 00000071 00000003");
+    expected.extend(padded("4c 0003 000fb0475d3a91c4 0a124a07 1b5b 4054000000000000", ACTION));
+    expected.extend(padded("44 0003 407f400000000000 000000000000004d", ACTION));
+    expected.extend(padded("43 0005 00000000 00000011", ACTION));
+    expected.extend(hex("74776f2073657276657273206b6e6f776e"));
+    assert_eq!(reply.frame(12), expected);
+}
+
+#[test]
+fn the_shown_list_reads_as_told() {
+    let tail = "0a124a07 1b5b 00 00 0000 02 3f800000 0000000000000000
+                0a9011f2 1b84 01 00 0000 02 3fc00000 40b7d40000000000";
+    let (_, input) = one("02 0003 02 00000029 00000000 00000002", tail);
+    let near = ServerEntry {
+        id: ServerId(0x0a12_4a07_1b5b),
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        state: ServerState::Ready,
+        weight: 1.0,
+        started: None,
+    };
+    let far = ServerEntry {
+        id: ServerId(0x0a90_11f2_1b84),
+        zone: 1,
+        weight: 1.5,
+        started: Some(ms(6100.0)),
+        ..near
+    };
+    let list = Event::List { kind: ListKind::Cached, entries: vec![near, far] };
+    assert_eq!(input, Input::Event(list, None));
+}
+
+#[test]
+fn the_shown_outcome_reads_as_told() {
+    let (_, input) = one("05 0003 000fb0475d3a91c4 00 0a124a07 1b5b 01 4032800000000000 01 00", "");
+    let end = AttemptEnd {
+        id: RequestId(0x000f_b047_5d3a_91c4),
+        attempt: 0,
+        server: ServerId(0x0a12_4a07_1b5b),
+        outcome: Outcome::Served,
+        elapsed: ms(18.5),
+        finished: true,
+        report: None,
+    };
+    assert_eq!(input, Input::Event(Event::AttemptEnded(end), None));
+}
+
+#[test]
+fn a_probe_result_brings_its_report_under_the_columns_names() {
+    let (_, input) = one("08 0001 0a124a07 1b5b 01 3ff0000000000000 03 40400000 3f800000 3f000000", "");
+    let Input::Event(Event::Probed(end), Some(raw)) = input else { panic!("{input:?}") };
+    let expected = ProbeEnd {
+        server: ServerId(0x0a12_4a07_1b5b),
+        outcome: Outcome::Served,
+        elapsed: ms(1.0),
+        report: None,
+    };
+    assert_eq!(end, expected);
+    let report = named_report(raw, &[Column::Concurrent, Column::Unknown, Column::LoadShare]);
+    let expected = LoadReport { in_flight: Some(3.0), utilisation: Some(0.5), ..LoadReport::default() };
+    assert_eq!(report, expected);
+}
+
+#[test]
+fn starts_stops_streams_and_peers_read_as_told() {
+    let (who, input) = one("01 0007 0000000000000009 00000001 00000002", "ff7b7d");
+    assert_eq!((who, input), (7, Input::Start { seed: 9, settings: b"{}".to_vec() }));
+    assert_eq!(one("0a 0007", "").1, Input::Stop);
+    let (_, input) = one("04 0001 0000000000000005 4000000000000000 02 00000000 0007", "");
+    let started = Event::Started { id: RequestId(5), attempt: 2, server: ServerId(7) };
+    assert_eq!(input, Input::Event(started, None));
+    let (_, input) = one("09 0001 00000002 00000000 00000002", "6869");
+    assert_eq!(input, Input::Event(Event::Peer { from: 2, data: b"hi".to_vec() }, None));
+}
+
+#[test]
+fn the_other_actions_are_byte_exact() {
+    let (id, server) = (RequestId(5), ServerId(0x0102_0304_0506));
+    let cases = [
+        (Action::Fail { id }, "41 0003 0000000000000005", ""),
+        (Action::Probe { server }, "42 0003 01020304 0506", ""),
+        (Action::Cancel { id, attempt: 2 }, "45 0003 0000000000000005 02", ""),
+        (Action::Subscribe { on: true }, "46 0003 01", ""),
+        (Action::FetchList, "48 0003", ""),
+        (Action::Tell { to: None, data: b"hi 7".to_vec() }, "49 0003 ffff 00000000 00000004", "68692037"),
+        (Action::CloseIdle { server }, "4a 0003 01020304 0506", ""),
+        (
+            Action::Refuse { id, retry_after: Some(ms(500.0)) },
+            "4b 0003 0000000000000005 407f400000000000",
+            "",
+        ),
+        (Action::Refuse { id, retry_after: None }, "4b 0003 0000000000000005", ""),
+    ];
+    for (action, record, tail) in cases {
+        let mut reply = Reply::default();
+        reply.push(3, &action);
+        let expected: Vec<u8> = [padded(record, ACTION), hex(tail)].concat();
+        assert_eq!(reply.frame(1)[12..], expected, "{action:?}");
+    }
+    let mut reply = Reply::default();
+    reply.push_fault(3, "hi");
+    assert_eq!(reply.frame(1)[12..], [padded("47 0003 00000000 00000002", ACTION), b"hi".to_vec()].concat());
+}
+
+#[test]
+fn bad_frames_are_named_by_batch_record_and_fault() {
+    let good = padded("0a 0001", EVENT);
+    let with = |bad: &str| batch(&[good.clone(), padded(bad, EVENT)], b"tail");
+    let cases = [
+        (hex("00000001 0000"), "batch header: 6 of 20 bytes"),
+        (with("0a 0001")[..60].to_vec(), "batch 12: 40 of 100 bytes"),
+        (hex("0000000c 7fffffff 00000000 40c06e2000000000"), "batch 12: 2147483647 records do not fit"),
+        (hex("0000000c 00000000 00000000 7ff8000000000000"), "batch 12: the clock is no number"),
+        (with("0b 0001"), "batch 12: record 1: unknown event code 11"),
+        (with("02 0001 04"), "batch 12: record 1: unknown list form 4"),
+        (
+            with("02 0001 01 00000001 00000000 ffffffff"),
+            "batch 12: record 1: points to 4294967295 x 23 bytes",
+        ),
+        (
+            with("09 0001 00000001 00000003 00000002"),
+            "batch 12: record 1: points to 2 x 1 bytes at 3 of a tail of 4",
+        ),
+        (with("08 0001 00000000 0001 08"), "batch 12: record 1: unknown outcome 8"),
+        (
+            with("08 0001 00000000 0001 01 0000000000000000 05"),
+            "batch 12: record 1: a load report of 5 values",
+        ),
+    ];
+    for (frame, expected) in cases {
+        let fault = read(&frame).expect_err(expected);
+        assert!(fault.starts_with(expected), "{fault} instead of {expected}");
+    }
+    let entry = padded("0a124a07 1b5b 00 00 0000 03", ENTRY);
+    let fault = read(&batch(&[padded("02 0001 01 00000001 00000000 00000001", EVENT)], &entry));
+    assert_eq!(fault.expect_err("bad state"), "batch 12: record 0: unknown server state 3");
+}
+
+#[test]
+fn the_end_of_the_input_is_no_fault() {
+    assert!(read_batch(&mut &[][..]).expect("legal").is_none());
+}
+
+#[test]
+fn ids_go_out_as_they_came_in() {
+    let tail = "0a90ffff 1b84 02 00 0000 02 3f800000 0000000000000000";
+    let (_, input) = one("02 0003 01 00000001 00000000 00000001", tail);
+    let Input::Event(Event::List { entries, .. }, None) = input else { panic!("{input:?}") };
+    let (_, input) = one("03 0003 000fffffffffffff 0001 0002 0000000000000000 406e000000000000", "");
+    let Input::Event(Event::Request(new), None) = input else { panic!("{input:?}") };
+    assert_eq!((new.class, new.tenant, new.cost), (1, 2, None));
+    let mut reply = Reply::default();
+    reply.push(3, &Action::Send { id: new.id, server: entries[0].id, timeout: new.remaining });
+    let expected = padded("4c 0003 000fffffffffffff 0a90ffff 1b84 406e000000000000", ACTION);
+    assert_eq!(reply.frame(1)[12..], expected);
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,599 @@
+//! Every decision of hillpick. Types, events and actions are in `src/interface.rs`; what a node
+//! remembers of servers and requests in `src/state.rs`; departures from the paper in `docs/design.md`.
+
+use crate::interface::*;
+pub use crate::state::Balancer;
+use crate::state::{Attempt, Request, Server};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::time::Duration;
+
+const TICK: u64 = u64::MAX; // the token of the housekeeping timer; a request's timers carry its id
+/// The share of the service that probes, and connections, may cost: little beside what blind sends cost.
+const PRICE_SPEND: f64 = 0.01;
+/// Further attempts, as a share of first attempts: the usual retry budget.
+const RETRY_SHARE: f64 = 0.4;
+/// One observation's weight in a smoothed value: the last handful of observations decide.
+const SMOOTH: f64 = 1.0 / 8.0;
+/// A server is to be seen so often within the memory of rates, or else fewer are used, but not under a few.
+const SIGHTINGS: f64 = 3.0;
+const FEW: f64 = 6.0;
+/// An attempt is silent after so many times the median answer: for exponential answer times one in sixteen.
+const SILENT: f64 = 4.0;
+/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
+const COLD_SPEND: f64 = 0.4;
+const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
+/// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
+const LEVELS: usize = 64;
+
+/// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
+fn scatter(id: ServerId) -> u64 {
+    id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// One of them at random, as a draw between 0 and 1 falls.
+fn any_of(among: &[&Server], draw: f64) -> Option<ServerId> {
+    among.get((draw * among.len() as f64) as usize).map(|server| server.entry.id)
+}
+
+impl Balancer {
+    /// A node that has just started and holds no state.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
+        (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
+        (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
+        (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
+        node
+    }
+
+    /// Takes in what happened at `now` and adds what is to be done to `actions`, in order.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        let first = self.now.is_zero();
+        self.now = now.max(self.now).max(Duration::from_nanos(1));
+        if first && self.settings.list_on_request {
+            // All nodes may have started together: they spread their first calls.
+            self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
+            self.on_tick(actions);
+        }
+        match event {
+            Event::List { kind, entries } => self.on_list(kind, entries),
+            Event::Request(new) => self.on_request(new, actions),
+            Event::Started { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::AttemptEnded(end) => self.on_outcome(end, actions),
+            Event::ClientGone { id } => self.close(id, actions),
+            Event::Timer { token: TICK } => self.on_tick(actions),
+            Event::Timer { token } => self.on_request_timer(RequestId(token), actions),
+            Event::Probed(end) => self.on_probed(end, actions),
+            Event::Peer { .. } => {}
+        }
+    }
+
+    // ---- Who may be sent to -----------------------------------------------------------------
+
+    /// The rules: nothing relaxes these. Rule 3 is kept with its whole grace to spare; by rule 4 a cold
+    /// server is sent no more than this node's part of what it can take.
+    fn permitted(&self, server: &Server, request: &Request) -> bool {
+        server.entry.state == ServerState::Ready
+            && (self.warmth(server) >= 1.0 || server.ticket > self.now && request.weight <= HEAVY)
+            && self.repeat_allows(server, request)
+            && !request.attempts.iter().any(|a| a.to.id == server.entry.id)
+    }
+
+    /// Rule 2: what may have run is sent again only as its class allows.
+    fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
+        let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
+        match self.settings.classes[request.class].repeat {
+            Repeat::Safe => true,
+            Repeat::Unsafe => false,
+            Repeat::Keyed { scope, window } => {
+                let together = match scope {
+                    Scope::All => true,
+                    Scope::Zone => first.to.zone == server.entry.zone,
+                    Scope::Cell => first.to.cell == server.entry.cell,
+                };
+                together && self.now < first.sent + window
+            }
+        }
+    }
+
+    /// The share of its capacity that a server has for certain.
+    fn warmth(&self, server: &Server) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(started) = server.entry.started else { return 1.0 };
+        let age = self.now.saturating_sub(started).as_secs_f64();
+        let grown = age / rules.warm_after.as_secs_f64().max(1e-6);
+        (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
+    }
+
+    /// Rule 4: a cold server is sent a request for a ticket. All nodes' answers from a warm server add up to
+    /// less than its capacity, so tickets come at a multiple of own answers from one: by chance and for a
+    /// short time, since what hundreds of quiet nodes save up can be spent in one burst.
+    fn draw_tickets(&mut self) {
+        let (rules, now) = (self.settings.rules, self.now);
+        let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
+        let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
+        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
+        for id in cold {
+            let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
+            let (chance, span) = (self.random(), rules.overload_time / 2);
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
+            let won = chance < 1.0 - (-rate * since).exp();
+            server.ticket = if server.ticket <= now && won { now + span } else { server.ticket };
+            server.drawn = now;
+        }
+    }
+
+    /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
+    fn carried_by_one(&self) -> f64 {
+        let near = self.enough().min(self.order.len());
+        let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
+        let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
+        total.per_s(self.now, self.memory()) / by as f64
+    }
+
+    /// Rates are taken over a few of the spans in which a cold server is judged.
+    fn memory(&self) -> f64 {
+        3.0 * self.settings.rules.overload_time.as_secs_f64().max(1e-3)
+    }
+
+    /// How crowded a server is: what it reported lately, and at least own attempts that are out.
+    fn crowd(&self, server: &Server) -> f64 {
+        let guess = f64::from(server.out) / (1.0 - server.failing).max(SMOOTH);
+        self.fresh_load(server).map_or(guess, |load| load.max(server.out.into()))
+    }
+
+    /// The load that a probe told of lately, with own sends since.
+    fn fresh_load(&self, server: &Server) -> Option<f64> {
+        server.load.filter(|&(_, at)| self.probes_tell() && self.fresh(at)).map(|(load, _)| load)
+    }
+
+    /// A queue turns over within about one answer time; then news of it is old.
+    fn fresh(&self, at: Duration) -> bool {
+        (self.now - at).as_secs_f64() <= self.answer_time / 4.0
+    }
+
+    fn probes_tell(&self) -> bool {
+        self.settings.reports == ReportSource::Probes && self.settings.limits.probes
+    }
+
+    /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
+    /// decides where it does not look crowded, since many nodes together may crowd it all the same.
+    fn fits(&self, server: &Server, request: &Request, luck: f64) -> bool {
+        let level = self.crowd(server).round() as usize;
+        let chance = luck.powf(request.value);
+        let open = chance <= self.taken && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
+        // A few are tried in any case, or else nothing would tell of better times.
+        open || server.out == 0 && chance < SMOOTH / 2.0
+    }
+
+    // ---- The pick ---------------------------------------------------------------------------
+
+    /// Join-Up-To(m): the lowest estimate strictly below m, ties at random.
+    fn below_cap(&self, among: &[&Server], draw: f64) -> Option<ServerId> {
+        let cap = self.cap();
+        let estimates: Vec<_> = among.iter().map(|s| self.estimate(s, cap)).collect();
+        let lowest = *estimates.iter().min().filter(|e| **e < cap)?;
+        let ties = among.iter().zip(estimates).filter(|(_, e)| *e == lowest);
+        any_of(&ties.map(|(s, _)| *s).collect::<Vec<_>>(), draw)
+    }
+
+    /// Own sends since the last idle sign. Where those come from cheap probes and other nodes send as well,
+    /// a sign lapses once they may have sent there too.
+    fn estimate(&self, server: &Server, cap: u32) -> u32 {
+        let lapses = self.probes_tell() && self.settings.nodes > 1;
+        if lapses && !server.idle_at.is_some_and(|at| self.fresh(at)) { cap } else { server.count }
+    }
+
+    /// The cap m of Theorem 6 of the paper, from own sends for each idle sign (its lambda / delta) and the
+    /// share of reports that were not idle (its lambda), for exponential job sizes.
+    fn cap(&self) -> u32 {
+        let per_sign = self.sends / self.idle_signs;
+        let half = 0.5 + per_sign * (1.0 - self.busy) / self.busy.max(SMOOTH);
+        let best = ((half * half + 2.0 * per_sign).sqrt() - half).ceil();
+        best.min(per_sign.floor()).max(1.0) as u32
+    }
+
+    /// Soft gate: those that are not more crowded than the average.
+    fn uncrowded<'a>(&self, among: Vec<&'a Server>) -> Vec<&'a Server> {
+        let crowds: Vec<_> = among.iter().map(|s| self.crowd(s)).collect();
+        let average = crowds.iter().sum::<f64>() / among.len() as f64 + 1e-9;
+        among.into_iter().zip(crowds).filter(|(_, crowd)| *crowd <= average).map(|(s, _)| s).collect()
+    }
+
+    /// How many servers to choose from: no more than own traffic can keep in view, since a server seen once a
+    /// minute is never known to be slow or gone. Where connections have a price, all nodes together keep it
+    /// within a hundredth of the service. Each has a server for every request at once and two to choose from.
+    fn enough(&self) -> usize {
+        let affordable = 100.0 * PRICE_SPEND / self.settings.prices.connections;
+        let part = affordable * self.order.len() as f64 / f64::from(self.settings.nodes);
+        let rate = self.sent.per_s(self.now, self.memory());
+        let sightings = SIGHTINGS / if self.probes_tell() { 2.0 } else { 1.0 };
+        let in_view = (rate * self.memory()).max(FEW * SIGHTINGS) / sightings;
+        (part.min(in_view).max(2.0 + rate * self.answer_time) as usize).min(LEVELS)
+    }
+
+    fn random(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / 2f64.powi(32)
+    }
+
+    // ---- Sending ----------------------------------------------------------------------------
+
+    /// Finds a server for a request that waits for its first or a further attempt.
+    fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let (luck, draw) = (self.random(), self.random());
+        self.draw_tickets();
+        let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
+        let permitted =
+            self.ring().filter_map(|id| self.servers.get(&id)).filter(|s| self.permitted(s, request));
+        let permitted: Vec<_> = permitted.take(self.enough()).collect();
+        let again = !request.attempts.is_empty();
+        if self.now >= request.until || again && (self.retry_tokens < 1.0 || permitted.is_empty()) {
+            return self.finish(id, actions);
+        }
+        if permitted.is_empty() {
+            // Nobody is listed, or only cold servers without a ticket: hold it a while.
+            let after = Duration::from_secs_f64(self.answer_time / 8.0).max(self.settings.tick);
+            return actions.push(Action::SetTimer { after, token: id.0 });
+        }
+        // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
+        // seldom one that can't be sent again: else trials take most of a quiet node's requests.
+        let once = self.settings.classes[request.class].repeat == Repeat::Unsafe;
+        let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
+        let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
+        let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
+        let sound: Vec<_> = permitted.iter().copied().filter(|s| s.ejected.is_none()).collect();
+        let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
+        let fits = healthy.iter().copied().filter(|s| self.fits(s, request, luck));
+        let fitting = self.uncrowded(fits.collect());
+        let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
+        let ask = below.is_none() && !request.probed && !self.held.contains(&id);
+        let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
+        let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
+        // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
+        match below {
+            Some(server) => self.send(id, server, actions),
+            None if self.held.contains(&id) || ask && self.probe(id, unknown, actions) => {}
+            None if any.is_some() => any.into_iter().for_each(|server| self.send(id, server, actions)),
+            // Everybody is too crowded to answer in time: better to say so now.
+            None => self.finish(id, actions),
+        }
+    }
+
+    /// One attempt at a time, or a second one where that is allowed and the first has been silent for long.
+    fn may_go(&self, request: &Request) -> bool {
+        let Some(last) = request.attempts.iter().rfind(|a| a.outcome.is_none()) else { return true };
+        let silent = self.now >= last.sent + self.patience_with(request).mul_f64(0.99);
+        self.settings.limits.parallel_attempts && request.out() < 2 && silent
+    }
+
+    /// How long an attempt may be silent: a multiple of the median answer, which few answers exceed.
+    fn patience_with(&self, request: &Request) -> Duration {
+        Duration::from_secs_f64(SILENT * self.median * request.weight.clamp(1.0, 1e3))
+            .max(2 * self.settings.tick)
+    }
+
+    /// The only place that sends. Every rule is checked here, whatever led to it.
+    fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
+        let again = !request.attempts.is_empty();
+        let room = (request.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
+        let owed = !request.done && self.may_go(request) && now < request.until;
+        if !owed || !room || !self.permitted(server, request) {
+            return self.finish(id, actions);
+        }
+        // Time is kept for one more attempt where there may be one: the server may stay silent.
+        let (left, patience) = (request.until - now, self.patience_with(request));
+        let more = self.settings.classes[request.class].repeat != Repeat::Unsafe
+            && left > patience * 5 / 4
+            && self.retry_tokens >= if again { 2.0 } else { 1.0 };
+        let hedged = self.settings.limits.parallel_attempts;
+        let timeout = if more && !hedged { patience } else { left };
+        if more && hedged {
+            actions.push(Action::SetTimer { after: patience, token: id.0 });
+        }
+        let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
+        let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
+        self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
+        self.servers.entry(to).and_modify(|s| {
+            (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
+            s.load = s.load.map(|(load, at)| (load + 1.0, at));
+        });
+        actions.push(Action::Send { id, server: to, timeout });
+        self.retry_tokens -= if again { 1.0 } else { 0.0 };
+        self.held.retain(|held| *held != id);
+        self.sent.add(now, self.memory(), 1.0);
+        self.sends = self.sends * 0.998 + 1.0;
+        self.idle_signs *= 0.998;
+    }
+
+    // ---- What follows an outcome ------------------------------------------------------------
+
+    fn on_outcome(&mut self, end: AttemptEnd, actions: &mut Vec<Action>) {
+        let usual = self.answer_time;
+        let Some(request) = self.requests.get_mut(&end.id) else { return };
+        let Some(attempt) = request.attempts.get_mut(end.attempt as usize) else { return };
+        if attempt.outcome.replace(end.outcome).is_some() {
+            return;
+        }
+        let (crowd, weight) = (attempt.crowd, request.weight);
+        // What is found out long after its time tells of this node's own pause, not of the server.
+        let past = self.now.as_secs_f64() - request.until.as_secs_f64();
+        let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
+        // Nothing to spare, or well past the aim where late answers have worth.
+        let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
+        let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
+        let (finished, waiting) = (end.finished || request.done, request.out() == 0);
+        self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(1));
+        self.on_report(end.server, end.report);
+        self.learn(&end, overdue, tight, crowd, weight);
+        if finished {
+            self.close(end.id, actions);
+        } else if waiting {
+            self.dispatch(end.id, actions);
+        }
+    }
+
+    /// Health and crowding, from how an attempt ended.
+    fn learn(&mut self, end: &AttemptEnd, overdue: bool, tight: bool, crowd: usize, weight: f64) {
+        let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
+        match end.outcome {
+            Outcome::Served => {
+                let above = end.elapsed.as_secs_f64() > self.median * weight.max(1.0);
+                self.median *= 1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0;
+                self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
+                if self.servers.get(&end.server).is_some_and(|s| self.warmth(s) >= 1.0) {
+                    self.carried.add(self.now, self.memory(), weight);
+                }
+                self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
+            }
+            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
+            _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut) => {
+                self.judge(end.server, 1.0, SMOOTH * 2.0)
+            }
+            _ => {}
+        }
+        match end.outcome {
+            Outcome::Served if !tight => {
+                // What fits when crowded fits when less so, and a little more is given its chance.
+                self.in_time[..=crowd].iter_mut().for_each(|share| *share += (1.0 - *share) * SMOOTH);
+                let next = &mut self.in_time[(crowd + 1).min(LEVELS - 1)];
+                *next += (1.0 - *next) * SMOOTH / 2.0;
+                self.taken = (self.taken + SMOOTH * 2.0 / 7.0).min(2.0);
+            }
+            _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
+                if crowd > 0 {
+                    self.in_time[crowd..].iter_mut().for_each(|share| *share -= *share * SMOOTH);
+                } else {
+                    // Not crowded by this node: others crowd it, or something is wrong with it.
+                    self.taken = (self.taken - self.taken * SMOOTH).max(SMOOTH / 2.0);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a sign of a server's health: 1 for a failure, 0 for an answer, 1/2 for a tight one.
+    fn judge(&mut self, id: ServerId, failed: f64, weight: f64) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.failing += (failed - server.failing) * weight;
+        self.failing += (failed - self.failing) * SMOOTH / 2.0;
+        if failed < 1.0 {
+            (server.ejected, server.ejections) = (None, server.ejections / 2);
+            return;
+        }
+        let (failing, on_trial, times) = (server.failing, server.ejected.is_some(), server.ejections);
+        let ready: Vec<_> = self.ring().take(2 * self.enough()).map(|id| &self.servers[&id]).collect();
+        let room = 2 * ready.iter().filter(|s| s.ejected.is_some()).count() + 2 <= ready.len();
+        // What all suffer is no server's fault, and half stay unless they can't be reached from here at all.
+        if on_trial || weight >= 1.0 || room && failing > 0.5 && failing > 1.5 * self.failing {
+            let until = Some(self.now + self.settings.rules.overload_time * (1 << times.min(4)));
+            self.servers.entry(id).and_modify(|s| (s.ejected, s.ejections) = (until, times + 1));
+        }
+    }
+
+    /// Nothing in flight (an empty queue where that is all there is) is an idle sign, but a late one if own
+    /// attempts are still out there: those stay in the estimate.
+    fn on_report(&mut self, id: ServerId, report: Option<LoadReport>) {
+        let (Some(report), Some(server)) = (report, self.servers.get_mut(&id)) else { return };
+        let Some(load) = report.in_flight.or(report.queue).map(f64::from) else { return };
+        server.load = Some((load, self.now));
+        self.busy += (if load < 0.5 { 0.0 } else { 1.0 } - self.busy) * SMOOTH / 8.0;
+        if load < 0.5 {
+            self.idle_signs += if server.count > server.out { 1.0 } else { 0.0 };
+            server.count = server.count.min(server.out);
+            server.idle_at = Some(self.now);
+        }
+    }
+
+    // ---- Refusing and failing ---------------------------------------------------------------
+
+    /// The only place that gives a final answer: refused if to try again is harmless, else failed.
+    fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|r| !r.done && !r.streaming) else { return };
+        if request.out() > 0 && self.now < request.until {
+            return; // what is out may still be answered
+        }
+        let harmless = match self.settings.classes[request.class].repeat {
+            Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
+            _ => !request.attempts.iter().any(Attempt::may_have_run),
+        };
+        let retry_after = self.settings.limits.max_retry_after;
+        actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+        self.close(id, actions);
+    }
+
+    /// Nothing more is sent for a request. What is out is called off, and it is kept until that has ended.
+    fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        self.held.retain(|held| *held != id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if !request.done && self.settings.limits.cancel && !request.streaming {
+            let out = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
+            actions.extend(out.map(|(i, _)| Action::Cancel { id, attempt: i as u32 }));
+        }
+        request.done = true;
+        if request.out() == 0 {
+            self.requests.remove(&id);
+        }
+    }
+
+    // ---- Housekeeping -----------------------------------------------------------------------
+
+    fn on_request(&mut self, new: NewRequest, actions: &mut Vec<Action>) {
+        let class = new.class.min(self.settings.classes.len() - 1);
+        let terms = self.settings.classes[class].clone();
+        // The timer comes a tick late at most, and the answer must be there before the client leaves.
+        let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
+        let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.clamp(0.0, 1e3));
+        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(&new, class));
+        let until = if terms.late_worth > 0.0 { deadline } else { deadline.min(aim) };
+        let weight = self.weigh(new.cost);
+        self.arrived.add(self.now, self.memory(), weight);
+        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
+        let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
+        self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
+        let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
+        let request = Request { class, weight, value, until, probed, ..Request::default() };
+        self.requests.insert(new.id, request);
+        // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
+        let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
+        if new.cost.unwrap_or_default() >= most {
+            return self.finish(new.id, actions);
+        }
+        actions.push(Action::SetTimer { after: until - self.now, token: new.id.0 });
+        self.dispatch(new.id, actions);
+    }
+
+    /// What a client has waited already, as far as it shows: a marked repeat whose time is not that of a
+    /// first try waits for the rest of its deadline. Work for one past its aim only feeds a jam.
+    fn spent(&mut self, new: &NewRequest, class: usize) -> Duration {
+        let deadline = self.settings.classes[class].deadline;
+        let first_try = if new.client_retry { self.patience[class] } else { new.remaining };
+        self.patience[class] = first_try;
+        let like_first = new.remaining.abs_diff(first_try) < first_try / 64;
+        if like_first { Duration::ZERO } else { deadline.saturating_sub(new.remaining) }
+    }
+
+    fn weigh(&mut self, cost: Option<Duration>) -> f64 {
+        let Some(cost) = cost.map(|c| c.as_secs_f64()).filter(|c| *c > 0.0) else { return 1.0 };
+        self.usual_cost += (cost - self.usual_cost) * if self.usual_cost == 0.0 { 1.0 } else { SMOOTH / 8.0 };
+        cost / self.usual_cost
+    }
+
+    /// A request's worth against that of the usual one. What the worst class weighs is spread over all.
+    fn value(&mut self, class: usize, tenant: usize) -> f64 {
+        let rate = |tenant: &Tenant| tenant.allowance_per_s / f64::from(self.settings.nodes.max(1));
+        let (rate, now) = (self.settings.tenants.get(tenant).map_or(0.0, rate), self.now);
+        let over = self.allowances.get_mut(tenant).is_some_and(|allowance| !allowance.take(now, rate));
+        let share = if over { self.settings.over_share_worth } else { 1.0 };
+        let (goal, worth) = (&self.settings.goal, self.settings.classes[class].worth * share);
+        self.usual_worth += (worth - self.usual_worth) * SMOOTH / 8.0;
+        let even = self.usual_worth * goal.worst_class / goal.whole.max(SMOOTH);
+        ((worth + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
+    }
+
+    fn on_request_timer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if now >= request.until {
+            self.finish(id, actions);
+        } else {
+            // Whoever was held for probes, or for want of servers, has waited long enough.
+            request.probed = true;
+            self.held.retain(|held| *held != id);
+            self.dispatch(id, actions);
+        }
+    }
+
+    /// Probes servers at the cap, two at a time, as own traffic has paid, and holds the request meanwhile.
+    fn probe(&mut self, id: RequestId, mut targets: Vec<ServerId>, actions: &mut Vec<Action>) -> bool {
+        for _ in 0..2.min(self.probe_tokens as usize) {
+            let draw = (self.random() * targets.len() as f64) as usize;
+            let Some(target) = targets.get(draw).copied() else { break };
+            targets.retain(|t| *t != target);
+            self.probe_tokens -= 1.0;
+            self.servers.entry(target).and_modify(|s| s.probing = true);
+            self.probes_out += 1;
+            actions.push(Action::Probe { server: target });
+        }
+        if self.probes_out == 0 {
+            return false;
+        }
+        self.held.push(id);
+        // A server that answers a probe later than this is no place to send to.
+        let patience = Duration::from_secs_f64(self.answer_time / 16.0).max(4 * self.settings.tick);
+        actions.push(Action::SetTimer { after: patience, token: id.0 });
+        true
+    }
+
+    fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
+        if let Some(server) = self.servers.get_mut(&end.server) {
+            (server.probing, server.load) = (false, None);
+        }
+        match end.outcome {
+            Outcome::Served => self.on_report(end.server, end.report),
+            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
+            _ => {}
+        }
+        self.probes_out = self.probes_out.saturating_sub(1);
+        let last = self.probes_out == 0;
+        for id in self.held.clone() {
+            self.held.retain(|held| !last || *held != id);
+            self.dispatch(id, actions);
+        }
+    }
+
+    fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if kind == ListKind::Failed {
+            let within = self.settings.rules.ask_within;
+            self.ask_wait = (2 * self.ask_wait).clamp(within / 16, within / 2);
+            self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
+            return;
+        }
+        if kind != ListKind::Cached {
+            (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
+        }
+        // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
+        let near = self.enough().min(self.order.len());
+        let count =
+            self.ring().take(near).map(|id| self.servers[&id].count).sum::<u32>() / near.max(1) as u32;
+        if kind != ListKind::Changes {
+            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
+            self.order.clear();
+        }
+        for entry in entries {
+            let old = self.servers.remove(&entry.id).unwrap_or_default();
+            let same = old.entry.id == entry.id && old.entry.started == entry.started;
+            let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
+            if entry.state != ServerState::Gone {
+                self.servers.insert(entry.id, Server { entry, ..if same { old } else { new } });
+            }
+            match (self.order.binary_search_by_key(&scatter(entry.id), |id| scatter(*id)), entry.state) {
+                (Err(at), ServerState::Ready) => self.order.insert(at, entry.id),
+                (Ok(at), state) if state != ServerState::Ready => drop(self.order.remove(at)),
+                _ => {}
+            }
+        }
+        if kind != ListKind::Changes {
+            self.servers.retain(|_, s| s.entry.state != ServerState::Gone);
+        }
+    }
+
+    /// All nodes see the same ring of ready servers and start evenly spaced, so that each has as many nodes.
+    fn ring(&self) -> impl Iterator<Item = ServerId> + '_ {
+        let (node, nodes) = (self.settings.node as usize, self.settings.nodes.max(1) as usize);
+        let (before, after) = self.order.split_at(node % nodes * self.order.len() / nodes);
+        after.iter().chain(before).copied()
+    }
+
+    /// Where the list must be asked for: asks when it is time, and again if no answer came.
+    fn on_tick(&mut self, actions: &mut Vec<Action>) {
+        if self.ask_at.is_some_and(|at| self.now >= at) {
+            actions.push(Action::Subscribe { on: true });
+            self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
+        }
+        actions.push(Action::SetTimer { after: self.settings.rules.ask_within / 64, token: TICK });
+    }
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,148 @@
+//! The adapter as a process: whole frames in, whole frames out, and plain words for bad input.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const SETTINGS: &str = r#"{"NInstances": 2, "Surprise": {"Deep": [1]}, "Classes": [{"Target": 400.0, "GiveUp": 1000.0,
+    "Idempotency": "free", "Unheard": true}]}"#;
+
+fn run(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hillpick-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // It may stop reading at bad input.
+    let _ = child.stdin.take().expect("its input").write_all(input);
+    child.wait_with_output().expect("it ends with its input")
+}
+
+struct Batch {
+    count: u32,
+    records: Vec<u8>,
+    tail: Vec<u8>,
+}
+
+impl Batch {
+    fn new() -> Self {
+        Batch { count: 0, records: Vec::new(), tail: Vec::new() }
+    }
+    fn record(mut self, code: u8, who: u16, fields: &[&[u8]]) -> Self {
+        let mut record = vec![code];
+        record.extend(who.to_be_bytes());
+        fields.iter().for_each(|field| record.extend(*field));
+        record.resize(48, 0);
+        self.records.extend(record);
+        self.count += 1;
+        self
+    }
+    /// A start, with its settings at the end of the tail so far.
+    fn spawn(mut self, who: u16, settings: &[u8]) -> Self {
+        let at = (self.tail.len() as u32).to_be_bytes();
+        self.tail.extend(settings);
+        self.record(1, who, &[&9u64.to_be_bytes(), &at, &(settings.len() as u32).to_be_bytes()])
+    }
+    /// A complete list of so many ready servers.
+    fn list(mut self, who: u16, servers: u16) -> Self {
+        let at = (self.tail.len() as u32).to_be_bytes();
+        for number in 0..servers {
+            let mut entry = vec![10, 0, 0, 1];
+            entry.extend(number.to_be_bytes());
+            entry.extend([0, 0, 0, 0, 2]);
+            entry.resize(23, 0);
+            self.tail.extend(entry);
+        }
+        self.record(2, who, &[&[1], &1u32.to_be_bytes(), &at, &u32::from(servers).to_be_bytes()])
+    }
+    fn request(self, who: u16, id: u64) -> Self {
+        let remaining = 900f64.to_be_bytes();
+        self.record(3, who, &[&id.to_be_bytes(), &[0; 12], &remaining])
+    }
+    fn frame(self, number: u32) -> Vec<u8> {
+        let mut frame = Vec::new();
+        frame.extend(number.to_be_bytes());
+        frame.extend(self.count.to_be_bytes());
+        frame.extend(((self.records.len() + self.tail.len()) as u32).to_be_bytes());
+        frame.extend((f64::from(number) * 10.0).to_be_bytes());
+        frame.extend(self.records);
+        frame.extend(self.tail);
+        frame
+    }
+}
+
+/// The codes of the actions of each reply.
+fn replies(output: &[u8]) -> Vec<Vec<u8>> {
+    let word = |at: usize| u32::from_be_bytes(output[at..at + 4].try_into().expect("four bytes")) as usize;
+    let (mut at, mut replies) = (0, Vec::new());
+    while at < output.len() {
+        let (length, count) = (word(at + 4), word(at + 8));
+        replies.push((0..count).map(|i| output[at + 12 + 32 * i]).collect());
+        at += 12 + length;
+    }
+    replies
+}
+
+#[test]
+fn instances_run_side_by_side_restart_in_a_batch_and_end_with_the_input() {
+    let settings = SETTINGS.as_bytes();
+    let first = Batch::new().spawn(1, settings).list(1, 2).spawn(2, settings).list(2, 2).frame(1);
+    let requests = Batch::new().request(1, 5).request(2, 6).frame(2);
+    // Instance 1 restarts in one batch; what comes for instance 2 after its stop is late.
+    let restart = Batch::new()
+        .record(10, 1, &[])
+        .spawn(1, settings)
+        .list(1, 1)
+        .request(1, 7)
+        .record(10, 2, &[])
+        .request(2, 8)
+        .frame(3);
+    let output = run(&[first, requests, restart, Batch::new().frame(4)].concat());
+    assert!(output.status.success());
+    let replies = replies(&output.stdout);
+    assert_eq!(replies.len(), 4);
+    let sends = |reply: usize| replies[reply].iter().filter(|code| **code == 76).count();
+    assert_eq!((sends(0), sends(1), sends(2), replies[3].len()), (0, 2, 1, 0));
+}
+
+#[test]
+fn a_megabyte_batch_is_answered_whole() {
+    let start = Batch::new().spawn(1, SETTINGS.as_bytes()).list(1, 40).frame(1);
+    let many = (0..25_000).fold(Batch::new(), |batch, id| batch.request(1, id)).frame(2);
+    assert!(many.len() > 1_000_000);
+    let output = run(&[start, many].concat());
+    assert!(output.status.success());
+    let replies = replies(&output.stdout);
+    // Each request is sent, refused or held for a while.
+    let told = replies[1].iter().filter(|code| [76, 75, 68].contains(code)).count();
+    assert!(told >= 25_000);
+}
+
+#[test]
+fn bad_input_ends_with_one_plain_line_and_no_half_reply() {
+    let good = Batch::new().spawn(1, SETTINGS.as_bytes()).list(1, 2).frame(1);
+    let cases = [
+        (good[..30].to_vec(), "batch 1: 10 of"),
+        (Batch::new().record(77, 1, &[]).frame(9), "batch 9: record 0: unknown event code 77"),
+        (Batch::new().spawn(1, b"{\"Classes\": 5}").frame(3), "batch 3: record 0: bad settings:"),
+        (Batch::new().spawn(1, b"{\"Classes\": []}").frame(3), "batch 3: record 0: bad settings: no classes"),
+        (Batch::new().spawn(1, b"\xff\xfe").frame(3), "batch 3: record 0: bad settings:"),
+        ([&good[..], &[0, 0, 0]].concat(), "batch header: 3 of 20 bytes"),
+    ];
+    for (input, expected) in cases {
+        let output = run(&input);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{expected}");
+        assert!(said.starts_with(&format!("hillpick-benchlink: {expected}")), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+        replies(&output.stdout);
+    }
+}
+
+#[test]
+fn a_length_that_is_only_claimed_takes_no_memory() {
+    let mut frame = Batch::new().frame(1);
+    frame[8..12].copy_from_slice(&u32::MAX.to_be_bytes());
+    let output = run(&frame);
+    assert!(String::from_utf8_lossy(&output.stderr).contains("batch 1: 0 of 4294967295 bytes"));
+}
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,63 @@
+//! Nothing grows with requests that have ended or servers that have left. Alone in its process, so that the
+//! process's memory is the balancer's.
+
+mod world;
+
+use hillpick::*;
+use std::time::Duration;
+use world::{entry, ms, probing};
+
+/// Resident memory in KiB, as Linux tells it.
+fn resident() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Plays requests to an ever changing fleet; obeys sends and probes, and drops the rest.
+fn play(balancer: &mut Balancer, requests: std::ops::Range<u64>) {
+    let mut actions = Vec::new();
+    for number in requests {
+        let now = ms(1000) + Duration::from_micros(number * 1500);
+        if number % 10 == 0 {
+            let servers = number / 10..number / 10 + 4;
+            let list = Event::List { kind: ListKind::Full, entries: servers.map(entry).collect() };
+            balancer.handle(now, list, &mut actions);
+        }
+        let id = RequestId(number);
+        let new = NewRequest {
+            id,
+            class: 0,
+            tenant: 0,
+            key: number,
+            remaining: ms(900),
+            cost: None,
+            client_retry: false,
+        };
+        balancer.handle(now, Event::Request(new), &mut actions);
+        while let Some(action) = actions.pop() {
+            let report = Some(LoadReport { in_flight: Some(0.0), ..LoadReport::default() });
+            let (outcome, elapsed) = (Outcome::Served, ms(1));
+            let event = match action {
+                Action::Send { id, server, .. } => {
+                    let end = AttemptEnd { id, attempt: 0, server, outcome, elapsed, finished: true, report };
+                    Event::AttemptEnded(end)
+                }
+                Action::Probe { server } => Event::Probed(ProbeEnd { server, outcome, elapsed, report }),
+                _ => continue,
+            };
+            balancer.handle(now, event, &mut actions);
+        }
+    }
+}
+
+#[test]
+fn memory_does_not_grow_with_what_has_passed() {
+    let mut balancer = Balancer::new(probing(), 1);
+    play(&mut balancer, 1..20_000);
+    let Some(before) = resident() else { return eprintln!("no /proc here: not checked") };
+    play(&mut balancer, 20_000..150_000);
+    let grown = resident().unwrap_or(before).saturating_sub(before);
+    // One remembered request or server of a hundred bytes each would be 13 MB.
+    assert!(grown < 2048, "{grown} KiB more after 130,000 requests");
+}
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,169 @@
+//! Troubles in combination and troubles on no list. `World` checks the four rules on the side; here it is
+//! checked that service goes on, that further attempts stay within their budget, and that no jam lasts.
+
+mod world;
+
+use hillpick::*;
+use world::*;
+
+/// What came of a stretch of requests.
+#[derive(Debug, Default)]
+struct Tally {
+    sends: usize,
+    served: usize,
+    subscribed: usize,
+}
+
+/// Plays requests of all classes, one every 30 ms; `ends` says how an attempt at a server ends within that
+/// time, `None` that it stays out. Further attempts are counted against their budget at the end.
+fn play(world: &mut World, requests: usize, ends: impl Fn(u64) -> Option<Outcome>) -> Tally {
+    let mut tally = Tally::default();
+    let before = world.log.len();
+    for i in 0..requests {
+        world.request(i % 5);
+        world.answer_probes(&[]);
+        world.pass(ms(30));
+        for (id, attempt) in world.out() {
+            if let Some(outcome) = ends(world.server_of(id, attempt).0) {
+                tally.served += usize::from(outcome == Outcome::Served && !world.answered(id));
+                world.end(id, attempt, outcome, Some(1.0));
+            }
+        }
+    }
+    for action in &world.log[before..] {
+        tally.sends += usize::from(matches!(action, Action::Send { .. }));
+        tally.subscribed += usize::from(matches!(action, Action::Subscribe { .. }));
+    }
+    // Two fifths of the requests, and what has been saved up: twice the burst of a fresh node.
+    assert!(tally.sends <= requests + requests * 2 / 5 + 10, "retries beyond their budget: {tally:?}");
+    tally
+}
+
+/// Both ways of reporting, and a node that has had the time to learn that all is well.
+fn worlds(servers: u64) -> [World; 2] {
+    [answering(), probing()].map(|settings| {
+        let mut world = World::with_servers(settings, servers);
+        recovers(&mut world);
+        world
+    })
+}
+
+/// All is well again: after some requests to find that out, nearly all are served.
+fn recovers(world: &mut World) {
+    play(world, 300, |_| Some(Outcome::Served));
+    let tally = play(world, 200, |_| Some(Outcome::Served));
+    assert!(tally.served >= 196, "a jam that lasts: {tally:?}");
+}
+
+#[test]
+fn a_server_reachable_from_nowhere_though_listed_is_left_alone() {
+    for mut world in worlds(4) {
+        let tally =
+            play(&mut world, 400, |s| Some(if s == 0 { Outcome::ConnectFailed } else { Outcome::Served }));
+        assert!(tally.served >= 390, "{tally:?}");
+    }
+}
+
+#[test]
+fn a_zone_reachable_from_nowhere_does_not_stop_the_others() {
+    for mut world in worlds(6) {
+        let ends = |s: u64| Some(if s % 3 == 0 { Outcome::ConnectFailed } else { Outcome::Served });
+        let tally = play(&mut world, 400, ends);
+        assert!(tally.served >= 380, "{tally:?}");
+        recovers(&mut world);
+    }
+}
+
+#[test]
+fn a_list_that_empties_stops_all_sends_until_it_names_a_server_again() {
+    for mut world in worlds(4) {
+        world.list(ListKind::Full, vec![]);
+        let tally = play(&mut world, 50, |_| Some(Outcome::Served));
+        assert_eq!(tally.sends, 0);
+        world.list(ListKind::Full, (0..4).map(entry).collect());
+        recovers(&mut world);
+    }
+}
+
+#[test]
+fn a_list_that_never_comes_while_requests_flood_in_is_asked_for_with_growing_waits() {
+    let mut world = World::new(Settings { list_on_request: true, ..probing() });
+    let mut subscribed = 0;
+    for _ in 0..40 {
+        let tally = play(&mut world, 20, |_| Some(Outcome::Served));
+        assert_eq!(tally.sends, 0);
+        subscribed += tally.subscribed;
+        if tally.subscribed > 0 {
+            world.list(ListKind::Failed, vec![]);
+        }
+    }
+    // 24 s: within the 10 s that are allowed each time, and far fewer calls than requests.
+    assert!((3..=20).contains(&subscribed), "{subscribed}");
+    world.list(ListKind::Full, (0..4).map(entry).collect());
+    recovers(&mut world);
+}
+
+#[test]
+fn overload_with_client_retries_leaves_no_jam() {
+    for mut world in worlds(4) {
+        play(&mut world, 400, |_| None);
+        // Errors close no level: only the budget stands in the way of further attempts.
+        play(&mut world, 400, |_| Some(Outcome::Error));
+        recovers(&mut world);
+    }
+}
+
+#[test]
+fn a_crash_during_stalls_leaves_no_jam() {
+    for mut world in worlds(6) {
+        let tally = play(&mut world, 300, |s| match s {
+            0 => Some(Outcome::ConnectFailed),
+            1 | 2 => None,
+            _ => Some(Outcome::Served),
+        });
+        assert!(tally.served >= 200, "{tally:?}");
+        recovers(&mut world);
+    }
+}
+
+#[test]
+fn a_deploy_during_a_stale_list_leaves_no_jam() {
+    for mut world in worlds(6) {
+        // Three have left, and the list does not say so yet.
+        let tally = play(&mut world, 200, |s| Some(if s < 3 { Outcome::Reset } else { Outcome::Served }));
+        assert!(tally.served >= 170, "{tally:?}");
+        let cold = |number| ServerEntry { started: Some(world.now), ..entry(number) };
+        let successors = (6..9).map(cold).chain((3..6).map(entry)).collect();
+        world.list(ListKind::Full, successors);
+        recovers(&mut world);
+    }
+}
+
+#[test]
+fn heavy_requests_under_a_choked_server_do_not_stop_light_ones() {
+    for mut world in worlds(4) {
+        let mut served = 0;
+        for i in 0..400 {
+            let heavy = i % 10 == 0;
+            let (id, _) = world.request_with(1, 0, ms(1000), Some(ms(if heavy { 390 } else { 40 })));
+            world.answer_probes(&[]);
+            world.pass(ms(40));
+            for (out, attempt) in world.out().into_iter().filter(|(out, _)| *out == id || !heavy) {
+                if world.server_of(out, attempt).0 != 0
+                    && world.age(out) >= ms(if out == id { 40 } else { 320 })
+                {
+                    served += usize::from(out == id && !heavy);
+                    world.end(out, attempt, Outcome::Served, Some(1.0));
+                }
+            }
+        }
+        assert!(served >= 250, "{served}");
+    }
+}
+
+#[test]
+fn a_node_that_never_sees_its_servers_less_than_busy_learns_that_they_serve() {
+    // Crowding levels start closed: while no server was ever seen below a closed level, all was refused for ever.
+    let mut world = World::with_servers(probing(), 4);
+    recovers(&mut world);
+}
