--- a/src/bin/hillpick-benchlink/main.rs
+++ b/src/bin/hillpick-benchlink/main.rs
@@ -2,11 +2,10 @@
 //! come on standard input, replies go to standard output. Knows nothing of how decisions are made.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
+use hillpick::settings::{self, Column};
 use hillpick::{Balancer, Event};
-use settings::Column;
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -22,8 +21,8 @@
 
 impl Instance {
     fn start(settings: &[u8], seed: u64) -> Result<Self, String> {
-        let (settings, columns) = settings::parse(settings)?;
-        Ok(Instance { balancer: Balancer::new(settings, seed), columns })
+        let site = settings::parse(settings)?;
+        Ok(Instance { balancer: Balancer::new(site.settings, seed), columns: site.columns })
     }
 
     /// Lets the module decide. An error is the message of its panic.
--- a/src/bin/hillpick-benchlink/wire.rs
+++ b/src/bin/hillpick-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's frames: batches of events in, one reply with actions for each.
 
-use crate::settings::{Column, millis};
+use hillpick::settings::{Column, millis};
 use hillpick::{
     Action, AttemptEnd, Event, ListKind, LoadReport, NewRequest, Outcome, ProbeEnd, RequestId, ServerEntry,
     ServerId, ServerState,
@@ -166,16 +166,7 @@
 pub fn named_report((values, count): RawReport, columns: &[Column]) -> LoadReport {
     let mut report = LoadReport::default();
     for (column, value) in columns.iter().zip(&values[..count]) {
-        let field = match column {
-            Column::Concurrent => &mut report.in_flight,
-            Column::Depth => &mut report.queue,
-            Column::LoadShare => &mut report.utilisation,
-            Column::MeanMs => &mut report.latency_ms,
-            Column::Tps => &mut report.throughput,
-            Column::ErrPs => &mut report.errors,
-            Column::Unknown => continue,
-        };
-        *field = value.is_finite().then_some(*value);
+        column.set(&mut report, *value);
     }
     report
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod interface;
 mod policy;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,5 @@
 //! Every decision of hillpick. Types, events and actions are in `src/interface.rs`; what a node
-//! remembers of servers and requests in `src/state.rs`; departures from the paper in `docs/design.md`.
+//! remembers of servers and requests in `src/state.rs`; departures from the paper in `README.md`.
 
 use crate::interface::*;
 pub use crate::state::Balancer;
--- a/src/bin/hillpick-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
-//! The settings text of a `spawn`: JSON in the wire's words, turned into the module's [`Settings`].
+//! The settings text that a node starts with: JSON in the wire's words, turned into the module's
+//! [`Settings`] and the names by which the rest of a node knows things.
 
-use hillpick::{Class, Goal, Limits, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant};
+use crate::interface::*;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -8,16 +9,71 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Column {
+    /// Requests held.
     Concurrent,
+    /// Requests waiting.
     Depth,
+    /// The fraction of the processors in use.
     LoadShare,
+    /// The recent service time.
     MeanMs,
+    /// Requests served in a second.
     Tps,
+    /// Errors in a second.
     ErrPs,
+    /// One that this version does not know.
     #[serde(other)]
     Unknown,
 }
 
+impl Column {
+    /// The column that a load report in a header or a probe's body calls by this name.
+    pub fn on_sockets(name: &str) -> Self {
+        match name {
+            "inflight" => Column::Concurrent,
+            "queue" => Column::Depth,
+            "util" => Column::LoadShare,
+            "latency_ms" => Column::MeanMs,
+            "qps" => Column::Tps,
+            "eps" => Column::ErrPs,
+            _ => Column::Unknown,
+        }
+    }
+
+    /// Puts a value in its place. What is no finite number is left out.
+    pub fn set(self, report: &mut LoadReport, value: f32) {
+        let field = match self {
+            Column::Concurrent => &mut report.in_flight,
+            Column::Depth => &mut report.queue,
+            Column::LoadShare => &mut report.utilisation,
+            Column::MeanMs => &mut report.latency_ms,
+            Column::Tps => &mut report.throughput,
+            Column::ErrPs => &mut report.errors,
+            Column::Unknown => return,
+        };
+        *field = value.is_finite().then_some(value);
+    }
+}
+
+/// All that a node takes from its settings text.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// Which value of a load report is which.
+    pub columns: Vec<Column>,
+    /// The names of the classes, in the order of [`Settings::classes`].
+    pub class_names: Vec<String>,
+    /// The names of the tenants, in the order of [`Settings::tenants`].
+    pub tenant_names: Vec<String>,
+    /// The names of the zones, in the order of their numbers.
+    pub zone_names: Vec<String>,
+    /// The names of the machine kinds, in the order of their numbers.
+    pub kind_names: Vec<String>,
+    /// A server closes a connection that has been idle for so long.
+    pub idle_close: Duration,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Idempotency {
@@ -63,6 +119,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct RawClass {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     aim_stretch: f64,
     target: f64,
@@ -83,6 +141,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct RawTenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     allowance_per_s: f64,
     #[serde(default)]
@@ -102,6 +162,7 @@
     attempts_cap: u32,
     cancel: bool,
     connect_timeout: f64,
+    idle_close: f64,
     max_retry_after: f64,
     parallel_tries: bool,
     probes: bool,
@@ -114,6 +175,7 @@
             attempts_cap: 1,
             cancel: false,
             connect_timeout: 250.0,
+            idle_close: 15_000.0,
             max_retry_after: 0.0,
             parallel_tries: false,
             probes: false,
@@ -175,6 +237,10 @@
     ordinal: u32,
     #[serde(default)]
     zone: u8,
+    #[serde(default)]
+    localities: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
     classes: Vec<RawClass>,
     #[serde(default)]
     projects: Vec<RawTenant>,
@@ -212,8 +278,8 @@
     Duration::from_micros((ms * 1000.0).round().clamp(0.0, LONGEST_US) as u64)
 }
 
-/// Reads the settings, and which value of a load report is which.
-pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
+/// Reads the settings text.
+pub fn parse(text: &[u8]) -> Result<Site, String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("bad settings: {e}"))?;
     if raw.classes.is_empty() {
         return Err("bad settings: no classes".into());
@@ -253,7 +319,15 @@
         list_on_request: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
     };
-    Ok((settings, raw.load_report.columns))
+    Ok(Site {
+        settings,
+        columns: raw.load_report.columns,
+        class_names: raw.classes.into_iter().map(|class| class.name).collect(),
+        tenant_names: raw.projects.into_iter().map(|tenant| tenant.name).collect(),
+        zone_names: raw.localities,
+        kind_names: raw.host_types,
+        idle_close: millis(raw.permissions.idle_close),
+    })
 }
 
 fn class(raw: &RawClass) -> Class {
