A real node on sockets: sillward

One event loop owns the Balancer (node.rs); clients (front.rs), attempts and connections (backend.rs) and the list (discovery.rs) talk to it by messages.

--- /dev/null
+++ b/src/bin/sillward/config.rs
@@ -0,0 +1,94 @@
+//! What a node is told at its start: the file that `PROXY_CONFIG` names.
+
+use hillpick::settings::{self, Site};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Descriptors for all but connections: standard streams, listener, runtime, discovery, dials that end.
+const SPARE_SOCKETS: usize = 48;
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Option<Box<RawValue>>,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// A node's configuration, checked.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// The most client connections, and the most connections to backends.
+    pub client_connections: usize,
+    pub backend_connections: usize,
+    /// The list of backends as this node last had it: discovery's JSON, perhaps old.
+    pub known: Option<String>,
+    pub site: Site,
+}
+
+impl Config {
+    /// Reads the file that `PROXY_CONFIG` names. The other `PROXY_` variables say nothing that it does not.
+    pub fn from_env() -> Result<Self, String> {
+        let path = std::env::var_os("PROXY_CONFIG").ok_or("bad configuration: PROXY_CONFIG is not set")?;
+        let path = PathBuf::from(path);
+        let text = std::fs::read_to_string(&path)
+            .map_err(|e| format!("bad configuration: cannot read {}: {e}", path.display()))?;
+        Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))
+    }
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let seed = match file.seed.as_str() {
+            "" => 0,
+            seed => u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
+        };
+        let site = settings::parse(file.settings.get().as_bytes())?;
+        // Two numbers would mean the same class or tenant if a name stood twice.
+        for names in [&site.class_names, &site.tenant_names, &site.zone_names] {
+            if names.iter().enumerate().any(|(i, name)| name.is_empty() || names[..i].contains(name)) {
+                return Err(format!("a name is empty or stands twice in {names:?}"));
+            }
+        }
+        let connections = file.limits.sockets.saturating_sub(SPARE_SOCKETS);
+        if connections < 2 {
+            return Err(format!(
+                "{} sockets are too few: {SPARE_SOCKETS} and 2 at least",
+                file.limits.sockets
+            ));
+        }
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            client_connections: connections / 2,
+            backend_connections: connections - connections / 2,
+            known: file.known.map(|known| known.get().to_owned()),
+            site,
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/sillward/discovery.rs
@@ -0,0 +1,308 @@
+//! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
+
+use crate::config::Config;
+use crate::log;
+use crate::node::Message;
+use bytes::{Bytes, BytesMut};
+use hillpick::settings::{Site, millis};
+use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use serde::Deserialize;
+use serde_json::Value;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const LIST: &str = "/registry/instances";
+/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
+const SILENCE: Duration = Duration::from_secs(6);
+/// The longest list or line that is taken in.
+const LINE_LIMIT: usize = 4 << 20;
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// A node that knows backends from before is ready at the latest when its first call has taken so long.
+const READY_AFTER: Duration = Duration::from_secs(1);
+
+/// A line of the list, and where that backend listens.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    pub entry: ServerEntry,
+    pub address: SocketAddr,
+}
+
+/// News of the list.
+pub struct News {
+    pub kind: ListKind,
+    pub backends: Vec<Backend>,
+}
+
+/// What the module asks of discovery, where the list must be asked for.
+pub enum Order {
+    Subscribe(bool),
+    Fetch,
+}
+
+#[derive(Deserialize)]
+struct List {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    name: String,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u16,
+    status: Status,
+    #[serde(default = "one")]
+    weight: f32,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Status {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+fn one() -> f32 {
+    1.0
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    site: Site,
+    messages: mpsc::Sender<Message>,
+    known: Option<String>,
+    random: Pcg32,
+    ready: Rc<Cell<bool>>,
+    /// The version of the list that the node has.
+    index: u64,
+}
+
+impl Discovery {
+    pub fn new(config: &Config, messages: mpsc::Sender<Message>) -> Self {
+        Discovery {
+            address: config.discovery,
+            site: config.site.clone(),
+            messages,
+            known: config.known.clone(),
+            random: Pcg32::seed_from_u64(!config.seed),
+            ready: Rc::default(),
+            index: 0,
+        }
+    }
+
+    /// Whether the node knows enough to serve.
+    pub fn ready(&self) -> Rc<Cell<bool>> {
+        self.ready.clone()
+    }
+
+    pub async fn run(mut self, orders: mpsc::Receiver<Order>) {
+        if let Some(known) = self.known.take() {
+            self.take(known.as_bytes(), Some(ListKind::Cached)).await;
+            // It may be old: the first call may still bring a newer one before clients come.
+            let (ready, some) = (self.ready.clone(), self.index > 0);
+            spawn_local(async move {
+                sleep(READY_AFTER).await;
+                ready.set(ready.get() || some);
+            });
+        }
+        if self.site.settings.list_on_request {
+            self.obey(orders).await;
+        } else {
+            self.follow().await;
+        }
+    }
+
+    /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is.
+    async fn follow(&mut self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let before = self.index;
+            let broken = self.watch().await;
+            pause = if self.index != before { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            log(format_args!("the watch broke: {broken}"));
+            sleep(self.jittered(pause)).await;
+        }
+    }
+
+    /// Lists must be asked for: the module says when. Every call that fails is told to it.
+    async fn obey(&mut self, mut orders: mpsc::Receiver<Order>) {
+        let mut watching = false;
+        loop {
+            let order = if watching {
+                tokio::select! {
+                    order = orders.recv() => order,
+                    broken = self.watch() => {
+                        log(format_args!("the watch broke: {broken}"));
+                        watching = false;
+                        self.tell(ListKind::Failed, Vec::new()).await;
+                        continue;
+                    }
+                }
+            } else {
+                orders.recv().await
+            };
+            match order {
+                Some(Order::Subscribe(on)) => watching = on,
+                Some(Order::Fetch) => {
+                    if let Err(broken) = self.fetch().await {
+                        log(format_args!("the list did not come: {broken}"));
+                        self.tell(ListKind::Failed, Vec::new()).await;
+                    }
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Between half and all of it, so that nodes whose watches broke together do not call together.
+    fn jittered(&mut self, pause: Duration) -> Duration {
+        pause.mul_f64(0.5 + f64::from(self.random.next_u32()) / 2f64.powi(33))
+    }
+
+    async fn fetch(&mut self) -> Result<(), String> {
+        let (response, _connection) = self.get(LIST).await?;
+        let body = timeout(SILENCE, Limited::new(response.into_body(), LINE_LIMIT).collect()).await;
+        let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
+        self.take(&body.to_bytes(), Some(ListKind::Full)).await;
+        Ok(())
+    }
+
+    /// Watches until that breaks; returns why.
+    async fn watch(&mut self) -> String {
+        match self.lines().await {
+            Ok(()) => "it ended".to_owned(),
+            Err(broken) => broken,
+        }
+    }
+
+    async fn lines(&mut self) -> Result<(), String> {
+        let (response, _connection) = self.get(&format!("{LIST}?stream=1&index={}", self.index)).await?;
+        let mut body = response.into_body();
+        let mut unread = BytesMut::new();
+        while let Some(frame) = timeout(SILENCE, body.frame()).await.map_err(|_| "silent")? {
+            let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+            // Only what is new can hold the end of a line.
+            let mut searched = unread.len();
+            unread.extend_from_slice(&data);
+            while let Some(end) = unread[searched..].iter().position(|byte| *byte == b'\n') {
+                let line = unread.split_to(searched + end + 1);
+                searched = 0;
+                if !line.trim_ascii().is_empty() {
+                    self.take(&line, None).await;
+                }
+            }
+            if unread.len() > LINE_LIMIT {
+                return Err("a line without end".to_owned());
+            }
+        }
+        Ok(())
+    }
+
+    async fn get(&self, path: &str) -> Result<(Response<Incoming>, Connection), String> {
+        let call = async {
+            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let (mut sender, connection) =
+                http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+            let connection = Connection(spawn_local(async move {
+                let _ = connection.await; // its end shows in the answer
+            }));
+            let request = Request::get(path).header(HOST, self.address.to_string());
+            let request = request.body(Empty::<Bytes>::new()).map_err(|e| e.to_string())?;
+            let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
+            match response.status() {
+                StatusCode::OK => Ok((response, connection)),
+                status => Err(format!("answered {status}")),
+            }
+        };
+        timeout(SILENCE, call).await.map_err(|_| "silent")?
+    }
+
+    /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
+    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) {
+        let list: List = match serde_json::from_slice(text) {
+            Ok(list) => list,
+            Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
+        };
+        let mut backends = Vec::new();
+        for line in list.endpoints {
+            match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| self.read(line)) {
+                Ok(backend) => backends.push(backend),
+                Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
+            }
+        }
+        self.index = list.index;
+        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+        let kind = kind.unwrap_or(listed);
+        self.tell(kind, backends).await;
+        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+    }
+
+    fn read(&self, line: Line) -> Result<Backend, String> {
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let zone = if line.zone.is_empty() { Some(0) } else { place(&self.site.zone_names, &line.zone) };
+        let zone = zone.and_then(|zone| u8::try_from(zone).ok());
+        // A new kind of machine serves like any other, but the zone decides where repeats may go.
+        let kind = place(&self.site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
+        let state = match line.status {
+            Status::InService => ServerState::Ready,
+            Status::Terminating => ServerState::Draining,
+            Status::Terminated => ServerState::Gone,
+        };
+        let entry = ServerEntry {
+            id: number(&line.name),
+            zone: zone.ok_or_else(|| format!("{}: unknown zone {}", line.name, line.zone))?,
+            kind: kind.unwrap_or(u8::MAX),
+            cell: line.group,
+            state,
+            weight: line.weight,
+            started: (line.since_ms > 0.0).then(|| millis(line.since_ms)),
+        };
+        Ok(Backend { entry, address: line.address })
+    }
+
+    async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
+        let _ = self.messages.send(Message::List(News { kind, backends })).await; // or the node has ended
+    }
+}
+
+/// A backend's number: made from its name alone, so that it is the same at every node (FNV-1a).
+fn number(name: &str) -> ServerId {
+    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    }))
+}
+
+/// A connection to discovery, which closes when it is dropped.
+struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/bin/sillward/node.rs
@@ -0,0 +1,329 @@
+//! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
+//! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
+
+use crate::backend::{Attempt, Ended, Pool, ProbeEnded, Stop};
+use crate::config::Config;
+use crate::discovery::{News, Order};
+use crate::{Clock, log};
+use bytes::Bytes;
+use hillpick::*;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// What reaches the node.
+pub enum Message {
+    Request(Box<Taken>),
+    ClientGone(RequestId),
+    Attempt(Ended),
+    Probe(ProbeEnded),
+    List(News),
+}
+
+/// A request that the front has taken.
+pub struct Taken {
+    pub new: NewRequest,
+    /// When its last byte had come.
+    pub at: Duration,
+    pub forward: Forward,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Bytes),
+    Refused(Option<Duration>),
+    Failed,
+    TimedOut,
+}
+
+/// What all attempts of a request share: what goes on unchanged, and what binds them.
+pub struct Forward {
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub call_id: HeaderValue,
+    pub idempotency_key: Option<HeaderValue>,
+    pub body: Bytes,
+    /// When the client stops waiting.
+    pub deadline: Duration,
+    /// How long backends remember a keyed request, from the first byte of the first attempt.
+    pub window: Option<Duration>,
+    pub first_byte: Cell<Option<Duration>>,
+    /// It has its final answer, or its client has left: nothing more is sent for it.
+    pub over: Cell<bool>,
+}
+
+struct Held {
+    forward: Rc<Forward>,
+    /// The way to the client, until the final answer has gone there.
+    reply: Option<oneshot::Sender<Answer>>,
+    /// In the order of Send; an attempt's number is its place.
+    attempts: Vec<Out>,
+}
+
+struct Out {
+    server: ServerId,
+    sent: Duration,
+    /// The way to stop it, until it has ended.
+    stop: Option<oneshot::Sender<Stop>>,
+    ended: bool,
+}
+
+impl Held {
+    /// The one place where a final answer leaves. False if there has been one.
+    fn answer(&mut self, answer: Answer) -> bool {
+        self.forward.over.set(true);
+        // An error means that the client has just left: then no answer is owed.
+        self.reply.take().map(|reply| reply.send(answer)).is_some()
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u32),
+    Deadline(RequestId),
+}
+
+pub struct Node {
+    clock: Clock,
+    balancer: Balancer,
+    pool: Rc<Pool>,
+    messages: mpsc::Sender<Message>,
+    discovery: mpsc::Sender<Order>,
+    tick: Duration,
+    max_attempts: usize,
+    held: BTreeMap<RequestId, Held>,
+    timers: BinaryHeap<Reverse<(Duration, u64, Due)>>,
+    timers_set: u64,
+}
+
+impl Node {
+    pub fn new(
+        clock: Clock,
+        config: &Config,
+        pool: Rc<Pool>,
+        messages: mpsc::Sender<Message>,
+        discovery: mpsc::Sender<Order>,
+    ) -> Self {
+        let settings = config.site.settings.clone();
+        Node {
+            clock,
+            pool,
+            messages,
+            discovery,
+            tick: settings.tick,
+            max_attempts: settings.limits.max_attempts.max(1) as usize,
+            balancer: Balancer::new(settings, config.seed),
+            held: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+        }
+    }
+
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, ..))| *at);
+            let wait = sleep_until(self.clock.instant(due.unwrap_or_default()));
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = wait, if due.is_some() => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn set(&mut self, at: Duration, due: Due) {
+        self.timers_set += 1; // those due together fire in the order of setting
+        self.timers.push(Reverse((at, self.timers_set, due)));
+    }
+
+    fn fire(&mut self) {
+        let now = self.clock.now();
+        while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Some(Reverse((_, _, due))) = self.timers.pop() else { return };
+            match due {
+                Due::Module(token) => self.decide(Event::Timer { token }),
+                Due::Attempt(id, number) => self.stop(id, number, Stop::TimedOut),
+                Due::Deadline(id) => self.overdue(id),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Request(taken) => self.on_request(taken),
+            Message::ClientGone(id) => {
+                let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
+                held.reply = None;
+                held.forward.over.set(true);
+                self.decide(Event::ClientGone { id });
+                self.forget(id);
+            }
+            Message::Attempt(ended) => self.on_attempt(ended),
+            Message::Probe(ProbeEnded { server, outcome, sent, report }) => {
+                let elapsed = self.clock.now().saturating_sub(sent);
+                self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
+            }
+            Message::List(news) => {
+                self.pool.update(news.kind, &news.backends, self.clock.now());
+                let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
+                self.decide(Event::List { kind: news.kind, entries });
+            }
+        }
+    }
+
+    fn on_request(&mut self, taken: Box<Taken>) {
+        let Taken { mut new, at, forward, reply } = *taken;
+        let (id, deadline) = (new.id, forward.deadline);
+        let waited = self.clock.now().saturating_sub(at);
+        new.remaining = new.remaining.saturating_sub(waited);
+        // A tick early: the answer is to be with the client before it gives up.
+        self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
+        let held = Held { forward: Rc::new(forward), reply: Some(reply), attempts: Vec::new() };
+        self.held.insert(id, held);
+        self.decide(Event::Request(new));
+        self.forget(id);
+    }
+
+    fn on_attempt(&mut self, ended: Ended) {
+        let Some(held) = self.held.get_mut(&ended.id) else { return };
+        let Some(out) = held.attempts.get_mut(ended.number as usize) else { return };
+        (out.ended, out.stop) = (true, None);
+        let (server, sent) = (out.server, out.sent);
+        // The first served answer is the client's; a later one only informs the module.
+        if let Some(body) = ended.body {
+            held.answer(Answer::Served(body));
+        }
+        let finished = held.reply.is_none();
+        self.decide(Event::AttemptEnded(AttemptEnd {
+            id: ended.id,
+            attempt: ended.number,
+            server,
+            outcome: ended.outcome,
+            elapsed: self.clock.now().saturating_sub(sent),
+            finished,
+            report: ended.report,
+        }));
+        self.forget(ended.id);
+    }
+
+    /// Whatever the module does, nobody is left without an answer at the deadline.
+    fn overdue(&mut self, id: RequestId) {
+        let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
+        log(format_args!("request {} was unanswered at its deadline: failed", id.0));
+        held.answer(Answer::TimedOut);
+        self.decide(Event::ClientGone { id });
+        self.forget(id);
+    }
+
+    /// Drops a request that has its answer and no attempt out.
+    fn forget(&mut self, id: RequestId) {
+        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|out| out.ended);
+        if self.held.get(&id).is_some_and(over) {
+            self.held.remove(&id);
+        }
+    }
+
+    /// Lets the module decide, and carries out what it says.
+    fn decide(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions {
+                if let Some(event) = self.act(action) {
+                    events.push_back(event);
+                }
+            }
+        }
+    }
+
+    /// Carries out an action. An attempt that can't even start ends at once, with the event returned.
+    fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { id, server, timeout } => return self.send(id, server, timeout),
+            Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused(retry_after)),
+            Action::Fail { id } => self.finish(id, Answer::Failed),
+            Action::Cancel { id, attempt } => self.stop(id, attempt, Stop::Cancelled),
+            Action::SetTimer { after, token } => self.set(self.clock.now() + after, Due::Module(token)),
+            Action::Probe { server } => self.probe(server),
+            Action::CloseIdle { server } => self.pool.close_idle(server),
+            Action::Subscribe { on } => self.order(Order::Subscribe(on)),
+            Action::FetchList => self.order(Order::Fetch),
+            // No message between nodes: the module sends none, and the site allows none.
+            Action::Tell { .. } => log("a message to another node was dropped"),
+            Action::Log { text } => log(text),
+        }
+        None
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
+        let now = self.clock.now();
+        let held = self.held.get_mut(&id)?;
+        let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
+        let deadline = held.forward.deadline;
+        if finished || now >= deadline || held.attempts.len() >= self.max_attempts {
+            held.attempts.push(Out { server, sent: now, stop: None, ended: true });
+            return Some(Event::AttemptEnded(AttemptEnd {
+                id,
+                attempt: number,
+                server,
+                outcome: Outcome::NotSent,
+                elapsed: Duration::ZERO,
+                finished,
+                report: None,
+            }));
+        }
+        let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
+        let (stop, stopped) = oneshot::channel();
+        let attempt = Attempt { id, number, server, until, forward: held.forward.clone() };
+        held.attempts.push(Out { server, sent: now, stop: Some(stop), ended: false });
+        self.set(until, Due::Attempt(id, number));
+        let (pool, messages) = (self.pool.clone(), self.messages.clone());
+        spawn_local(async move {
+            let ended = pool.attempt(attempt, stopped).await;
+            let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
+        });
+        None
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        let (sent, pool, messages) = (self.clock.now(), self.pool.clone(), self.messages.clone());
+        spawn_local(async move {
+            let (outcome, report) = pool.probe(server).await;
+            let _ = messages.send(Message::Probe(ProbeEnded { server, outcome, sent, report })).await;
+        });
+    }
+
+    fn finish(&mut self, id: RequestId, answer: Answer) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.answer(answer);
+        }
+    }
+
+    fn stop(&mut self, id: RequestId, number: u32, why: Stop) {
+        let out = self.held.get_mut(&id).and_then(|held| held.attempts.get_mut(number as usize));
+        if let Some(stop) = out.and_then(|out| out.stop.take()) {
+            let _ = stop.send(why); // it may have ended just now; then that outcome is on its way
+        }
+    }
+
+    fn order(&mut self, order: Order) {
+        if self.discovery.try_send(order).is_err() {
+            log("discovery has too much to do: a call was dropped");
+        }
+    }
+}
