Failures that carry a report leave the estimate as it is

DESIGN says that errors, refusals, time-outs and failed connections leave the estimate alone. on_outcome gave every report to on_report, so an error or a refusal that told of nothing in flight zeroed the estimate (policy.rs, the call of on_report in on_outcome): a server of quick errors looked idle and won.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -327,7 +327,7 @@
         let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(1));
-        self.on_report(end.server, end.report);
+        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         self.learn(&end, overdue, tight, crowd, weight);
         if finished {
             self.close(end.id, actions);
@@ -394,14 +394,14 @@
         }
     }
 
-    /// Nothing in flight (an empty queue where that is all there is) is an idle sign, but a late one if own
-    /// attempts are still out there: those stay in the estimate.
-    fn on_report(&mut self, id: ServerId, report: Option<LoadReport>) {
+    /// Nothing in flight with an answer (an empty queue where that is all there is) is an idle sign, but a
+    /// late one if own attempts are still out there: those stay in the estimate.
+    fn on_report(&mut self, id: ServerId, report: Option<LoadReport>, served: bool) {
         let (Some(report), Some(server)) = (report, self.servers.get_mut(&id)) else { return };
         let Some(load) = report.in_flight.or(report.queue).map(f64::from) else { return };
         server.load = Some((load, self.now));
         self.busy += (if load < 0.5 { 0.0 } else { 1.0 } - self.busy) * SMOOTH / 8.0;
-        if load < 0.5 {
+        if load < 0.5 && served {
             self.idle_signs += if server.count > server.out { 1.0 } else { 0.0 };
             server.count = server.count.min(server.out);
             server.idle_at = Some(self.now);
@@ -533,7 +533,7 @@
             (server.probing, server.load) = (false, None);
         }
         match end.outcome {
-            Outcome::Served => self.on_report(end.server, end.report),
+            Outcome::Served => self.on_report(end.server, end.report, true),
             Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
             _ => {}
         }
