Tests of the node over loopback, and what reading it against them showed

Mended while writing them: - front.rs accept(): at the connection limit it woke only when a client left, so a client that had just fallen idle was never asked to make room. - front.rs run(): a client that never finished its request held the exit back; now for the longest deadline at most. Accepting goes on for 0.45 s, not 0.55, so that the end comes before SIGKILL may (2.5 + 0.7 s). - backend.rs dial(): want of own descriptors or ports was told to the module as the backend's failed connect, which ejects it; now the attempt was never sent. - discovery.rs: a watch silent for 5 s is broken (6 before).

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -23,6 +23,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+const EADDRNOTAVAIL: i32 = 99;
 /// The most bytes of a body, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
 /// No head of an answer is longer; it also bounds what a connection may buffer.
@@ -241,13 +244,23 @@
         let opened = match connected {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream)).await.ok()
+                let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream));
+                opened.await.map_err(|_| Outcome::ConnectFailed)
             }
-            Ok(Err(_)) | Err(_) => None,
+            // This node's own want of descriptors or ports says nothing of the backend.
+            Ok(Err(e)) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE | EADDRNOTAVAIL)) => {
+                log(format_args!("cannot dial: {e}"));
+                self.close_longest_idle();
+                Err(Outcome::NotSent)
+            }
+            Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
         };
-        let Some((sender, connection)) = opened else {
-            self.open.set(self.open.get() - 1);
-            return Err(Outcome::ConnectFailed);
+        let (sender, connection) = match opened {
+            Ok(opened) => opened,
+            Err(outcome) => {
+                self.open.set(self.open.get() - 1);
+                return Err(outcome);
+            }
         };
         let task = spawn_local(async move {
             let _ = connection.await; // its end shows in the request on it
@@ -259,15 +272,19 @@
         if let Some(place) = self.places.borrow_mut().get_mut(&server) {
             place.dialling -= 1;
         }
-        if let Ok(connection) = dialled {
-            self.put(connection);
-        }
+        let failed = match dialled {
+            Ok(connection) => {
+                self.put(connection);
+                Outcome::ConnectFailed // a dial to where it no longer is; whoever waits may go elsewhere
+            }
+            Err(outcome) => outcome,
+        };
         if let Some(place) = self.places.borrow_mut().get_mut(&server) {
             // More wait than dials can serve: the longest waiting learns that its dial has failed.
             place.waiting.retain(|waiting| !waiting.is_closed());
             while place.waiting.len() > place.dialling {
                 let Some(waiting) = place.waiting.pop_front() else { break };
-                let _ = waiting.send(Err(Outcome::ConnectFailed));
+                let _ = waiting.send(Err(failed));
             }
         }
     }
--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -27,7 +27,7 @@
 
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(6);
+const SILENCE: Duration = Duration::from_secs(5);
 /// The longest list or line that is taken in.
 const LINE_LIMIT: usize = 4 << 20;
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -28,7 +28,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
-const ACCEPT_ON: Duration = Duration::from_millis(550);
+const ACCEPT_ON: Duration = Duration::from_millis(450);
 /// Then what was accepted last has so long to send its request before idle connections are closed.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 /// A head or a body that takes longer comes from nobody who still waits for an answer.
@@ -54,7 +54,9 @@
     messages: mpsc::Sender<Message>,
     ready: Rc<Cell<bool>>,
     closing: Cell<bool>,
-    requests: Cell<u64>,
+    /// The last number that a request or a connection was given.
+    numbers: Cell<u64>,
+    longest_deadline: Duration,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     most_clients: usize,
     left: Notify,
@@ -70,13 +72,15 @@
         messages: mpsc::Sender<Message>,
         ready: Rc<Cell<bool>>,
     ) -> Rc<Self> {
+        let classes = config.site.settings.classes.iter();
         Rc::new(Front {
             clock,
             site: config.site.clone(),
             messages,
             ready,
             closing: Cell::new(false),
-            requests: Cell::new(0),
+            numbers: Cell::new(0),
+            longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
             clients: RefCell::default(),
             most_clients: config.client_connections,
             left: Notify::new(),
@@ -99,8 +103,14 @@
         drop(listener);
         sleep(LAST_WORDS).await;
         self.clients.borrow().values().for_each(|client| client.close.notify_one());
-        while !self.clients.borrow().is_empty() {
-            self.left.notified().await;
+        let all_left = async {
+            while !self.clients.borrow().is_empty() {
+                self.left.notified().await;
+            }
+        };
+        // Every request has its answer by its deadline; who is left then has sent half a request at most.
+        if timeout(self.longest_deadline, all_left).await.is_err() {
+            log("a client would not end its connection");
         }
     }
 
@@ -160,8 +170,8 @@
     }
 
     fn next(&self) -> u64 {
-        self.requests.set(self.requests.get() + 1);
-        self.requests.get()
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
     }
 
     async fn respond(
@@ -175,6 +185,9 @@
             Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
         };
         client.idle.set(Some(Instant::now()));
+        if self.clients.borrow().len() >= self.most_clients {
+            self.left.notify_one(); // whoever waits to come in finds this one idle
+        }
         if self.closing.get() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -82,7 +82,8 @@
     let front = front::Front::new(clock, &config, messages, ready);
     let mut node = tokio::task::spawn_local(node.run(inbox));
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders));
-    log(format_args!("{} listens on {}", config.name, config.listen));
+    let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+    log(format_args!("{} listens on {address}", config.name));
 
     let stop = async {
         tokio::select! {
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,382 @@
+//! A node under test, run as its users run it, and scripted peers round it: backends, discovery, clients.
+//! Everything waits for events; PATIENCE only ends a test that has gone wrong.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread::spawn;
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A message as a peer sees it.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Its first line.
+    pub start: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// Reads one message with a length; `None` if the connection ends first.
+pub fn read_message(stream: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0).map(|_| line.trim_end().to_owned())
+    };
+    let start = line()?;
+    let mut headers = BTreeMap::new();
+    loop {
+        let header = line()?;
+        let Some((name, value)) = header.split_once(": ") else { break };
+        headers.insert(name.to_lowercase(), value.to_owned());
+    }
+    let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Message { start, headers, body })
+}
+
+// ---- Backends -----------------------------------------------------------------------------------
+
+/// What a scripted backend does with a request.
+pub enum Reply {
+    /// A whole answer: status line after the version, headers, body.
+    Answer(&'static str, &'static str, Vec<u8>),
+    /// These bytes, and then the connection ends.
+    Break(Vec<u8>),
+    /// Nothing, for as long as the node waits.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Answer("200 OK", "", body.into())
+}
+
+pub enum Seen {
+    Request { connection: usize, message: Message },
+    Closed { connection: usize },
+}
+
+pub struct Backend {
+    pub address: SocketAddr,
+    seen: Receiver<Seen>,
+    pub requests: Arc<AtomicUsize>,
+}
+
+impl Backend {
+    pub fn start(script: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (saw, seen) = channel();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let (script, count) = (Arc::new(script), requests.clone());
+        spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (stream, saw) = (stream.expect("a connection"), saw.clone());
+                let (script, count) = (script.clone(), count.clone());
+                spawn(move || serve(stream, connection, &saw, &count, &*script));
+            }
+        });
+        Backend { address, seen, requests }
+    }
+
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("something at the backend")
+    }
+    /// The next request, and the number of its connection.
+    pub fn request(&self) -> (usize, Message) {
+        loop {
+            if let Seen::Request { connection, message } = self.next() {
+                return (connection, message);
+            }
+        }
+    }
+    /// The number of the connection that ends next.
+    pub fn closed(&self) -> usize {
+        loop {
+            if let Seen::Closed { connection } = self.next() {
+                return connection;
+            }
+        }
+    }
+    /// Whether a connection has ended; passes over what came before that.
+    pub fn has_closed(&self) -> bool {
+        self.seen.try_iter().any(|seen| matches!(seen, Seen::Closed { .. }))
+    }
+    pub fn count(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    connection: usize,
+    saw: &Sender<Seen>,
+    count: &AtomicUsize,
+    script: &impl Fn(&Message) -> Reply,
+) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    let mut writer = stream;
+    while let Some(message) = read_message(&mut reader) {
+        count.fetch_add(1, Ordering::SeqCst);
+        let _ = saw.send(Seen::Request { connection, message: message.clone() });
+        match script(&message) {
+            Reply::Answer(status, headers, body) => {
+                let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+                let _ = writer.write_all(&[head.as_bytes(), &body].concat());
+            }
+            Reply::Break(bytes) => {
+                let _ = writer.write_all(&bytes);
+                let _ = writer.shutdown(Shutdown::Both);
+                break;
+            }
+            Reply::Silence => {}
+        }
+    }
+    let _ = saw.send(Seen::Closed { connection });
+}
+
+// ---- Discovery ----------------------------------------------------------------------------------
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    calls: Receiver<Watch>,
+}
+
+/// A call of the node's to discovery, answered by the test.
+pub struct Watch {
+    pub start: String,
+    stream: TcpStream,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (called, calls) = channel();
+        spawn(move || {
+            for stream in listener.incoming() {
+                let stream = stream.expect("a connection");
+                let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+                let Some(message) = read_message(&mut reader) else { continue };
+                if called.send(Watch { start: message.start, stream }).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { address, calls }
+    }
+    pub fn call(&self) -> Watch {
+        self.calls.recv_timeout(PATIENCE).expect("a call to discovery")
+    }
+}
+
+impl Watch {
+    pub fn open(&mut self) {
+        self.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    pub fn line(&mut self, line: &str) {
+        self.write(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+    }
+    pub fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("the node listens to discovery");
+    }
+}
+
+pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+pub fn list(index: u64, snapshot: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+// ---- The node -----------------------------------------------------------------------------------
+
+/// Classes `read` (safe), `submit` (keyed) and `correct` (unsafe), all with the same times.
+pub fn settings(aim_ms: u64, permissions: &str) -> String {
+    let class = |name: &str, kind: &str| {
+        format!(
+            r#"{{"Name":"{name}","Target":{aim_ms},"GiveUp":{aim_ms},"Idempotency":"{kind}","Group":"zone","Window":60000}}"#
+        )
+    };
+    let classes =
+        [class("read", "free"), class("submit", "guarded"), class("correct", "single_shot")].join(",");
+    format!(
+        r#"{{"Classes":[{classes}],"Projects":[{{"Name":"acme","AllowancePerS":1000,"Share":1}}],
+        "Localities":["a","b"],"HostTypes":["m"],"Quantum":5,"OverShareWorth":1,"Rules":{{"DrainGrace":2000}},
+        "Goal":{{"Whole":1}},"LoadReport":{{"Columns":["concurrent","depth"],"Via":"piggyback"}},
+        "Permissions":{{"AttemptsCap":3,"Cancel":true,"ConnectTimeout":2000,"MaxRetryAfter":1500,
+        "RetryAfter":true{permissions}}}}}"#
+    )
+}
+
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+static NUMBER: AtomicUsize = AtomicUsize::new(0);
+
+/// The node's command, with its configuration in a file. `shell` goes before it.
+pub fn command(config: &str, shell: &str) -> Command {
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let name = format!("config-{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("a place for the configuration");
+    let mut command = Command::new("/bin/sh");
+    command.arg("-c").arg(format!("{shell}exec \"$0\"")).arg(env!("CARGO_BIN_EXE_sillward"));
+    command.env("PROXY_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+pub fn config(discovery: SocketAddr, settings: &str, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{{"index":7,"snapshot":true,"endpoints":[]}},"settings":{settings}}}"#
+    )
+}
+
+impl Node {
+    pub fn start(config: &str, shell: &str) -> Self {
+        let mut child = command(config, shell).spawn().expect("the node starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
+        let first = lines.next().expect("a first line");
+        let address = first.rsplit(' ').next().and_then(|address| address.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address: {first}"));
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
+        Node { child, address, log }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.address)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.client().ask("GET /health/ready", "", b"").status() == 200
+    }
+
+    /// Waits until the log holds such a line.
+    pub fn logged(&self, text: &str) {
+        until(|| self.log.lock().expect("the log").iter().any(|line| line.contains(text)), text);
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until(
+            || {
+                status = self.child.try_wait().expect("its state");
+                status.is_some()
+            },
+            "the node's end",
+        );
+        status.expect("just seen")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// For what sends no event: looks again and again.
+pub fn until(mut holds: impl FnMut() -> bool, what: &str) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A node whose list holds these backends, and the watch that told it.
+pub fn serving(settings: &str, backends: &[&Backend]) -> (Node, Watch, Discovery) {
+    serving_with(settings, backends, 1024, "")
+}
+
+pub fn serving_with(
+    settings: &str,
+    backends: &[&Backend],
+    sockets: usize,
+    shell: &str,
+) -> (Node, Watch, Discovery) {
+    let discovery = Discovery::start();
+    let node = Node::start(&config(discovery.address, settings, sockets), shell);
+    let mut watch = discovery.call();
+    watch.open();
+    let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "in_service"));
+    watch.line(&list(8, true, &entries.collect::<Vec<_>>()));
+    until(|| node.is_ready(), "readiness");
+    (node, watch, discovery)
+}
+
+// ---- Clients ------------------------------------------------------------------------------------
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client(BufReader::new(stream))
+    }
+    pub fn send(&mut self, start: &str, headers: &str, body: &[u8]) {
+        let length =
+            if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        let head = format!("{start} HTTP/1.1\r\nHost: service.internal\r\n{headers}{length}\r\n");
+        self.0.get_mut().write_all(&[head.as_bytes(), body].concat()).expect("the node reads");
+    }
+    /// The answer; `None` if the connection ends without one.
+    pub fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.0)
+    }
+    pub fn ask(&mut self, start: &str, headers: &str, body: &[u8]) -> Message {
+        self.send(start, headers, body);
+        self.answer().expect("an answer")
+    }
+    pub fn read(&mut self) -> Message {
+        self.ask("GET /read/1f", &common(20_000), b"")
+    }
+    pub fn send_correct(&mut self) {
+        self.send("POST /correct/1f", &common(20_000), b"sheet");
+    }
+    pub fn correct(&mut self) -> Message {
+        self.send_correct();
+        self.answer().expect("an answer")
+    }
+    /// Whether the node has ended this connection.
+    pub fn ended(&mut self) -> bool {
+        self.answer().is_none()
+    }
+}
+
+pub fn common(budget_ms: u64) -> String {
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    format!("X-Call-Id: {number:016x}\r\nX-Caller: acme\r\nX-Budget-Ms: {budget_ms}\r\n")
+}
