Dials overtaken by a move blame nobody; what an attempt rechecks has tests

Tests: right before the first byte an attempt looks again at its time, at the answer, at the backend's grace and at the keyed window (pool with a scripted backend, four cases and one that is written); a start while discovery is down; readiness only with a list.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -275,7 +275,7 @@
         let failed = match dialled {
             Ok(connection) => {
                 self.put(connection);
-                Outcome::ConnectFailed // a dial to where it no longer is; whoever waits may go elsewhere
+                Outcome::NotSent // it led to where the backend no longer is: no fault of the backend's
             }
             Err(outcome) => outcome,
         };
@@ -482,3 +482,80 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hillpick::ServerEntry;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+        "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}],
+        "Rules": {"DrainGrace": 0}}}"#;
+    const SERVER: ServerId = ServerId(1);
+    const MINUTE: Duration = Duration::from_secs(60);
+
+    /// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
+    /// its backend was sent.
+    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, Backend, Duration)) -> (Outcome, String) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let config = Config::parse(CONFIG).expect("good");
+            let (clock, entry) = (Clock::start(), ServerEntry { id: SERVER, ..ServerEntry::default() });
+            let pool = Pool::start(clock, &config);
+            let entry = ServerEntry { state: ServerState::Ready, ..entry };
+            let backend = Backend { entry, address: listener.local_addr().expect("its address") };
+            let now = clock.now();
+            pool.update(ListKind::Full, std::slice::from_ref(&backend), now);
+            let forward = Forward {
+                method: Method::POST,
+                path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
+                call_id: HeaderValue::from_static("1"),
+                idempotency_key: None,
+                body: Bytes::new(),
+                deadline: now + MINUTE,
+                window: Some(MINUTE),
+                first_byte: Cell::new(None),
+                over: Cell::new(false),
+            };
+            let (until, forward) = (now + MINUTE, Rc::new(forward));
+            let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, forward };
+            by(&pool, &mut attempt, backend, now);
+            let (_stop, stopped) = oneshot::channel();
+            let served = spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.expect("a dial");
+                let mut sent = [0; 15];
+                let read = stream.read(&mut sent).await.unwrap_or_default();
+                String::from_utf8_lossy(&sent[..read]).into_owned()
+            });
+            let ended = pool.clone().attempt(attempt, stopped).await;
+            pool.close_idle(SERVER);
+            (ended.outcome, served.await.expect("the backend's part"))
+        })
+    }
+
+    #[test]
+    fn an_attempt_that_nothing_has_overtaken_is_written() {
+        assert_eq!(overtaken(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
+    }
+
+    #[test]
+    fn what_was_overtaken_while_it_waited_for_a_connection_is_never_sent() {
+        let nothing = || (Outcome::NotSent, String::new());
+        let late = overtaken(|_, attempt, _, now| attempt.until = now);
+        assert_eq!(late, nothing(), "its time is over");
+        let over = overtaken(|_, attempt, _, _| attempt.forward.over.set(true));
+        assert_eq!(over, nothing(), "the request has its answer");
+        let forgotten =
+            overtaken(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
+        assert_eq!(forgotten, nothing(), "backends have forgotten the first attempt of a keyed request");
+        let drained = overtaken(|pool, _, mut backend, now| {
+            backend.entry.state = ServerState::Draining;
+            pool.update(ListKind::Changes, &[backend], now);
+        });
+        assert_eq!(drained, nothing(), "the grace after the news of a drain is over");
+    }
+}
--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -60,7 +60,7 @@
         Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))
     }
 
-    fn parse(text: &str) -> Result<Self, String> {
+    pub fn parse(text: &str) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let seed = match file.seed.as_str() {
             "" => 0,
--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
@@ -142,9 +142,10 @@
     async fn follow(&mut self) {
         let mut pause = FIRST_PAUSE;
         loop {
-            let before = self.index;
+            let opened = Instant::now();
             let broken = self.watch().await;
-            pause = if self.index != before { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            let lasted = opened.elapsed() > LONGEST_PAUSE;
+            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
             log(format_args!("the watch broke: {broken}"));
             sleep(self.jittered(pause)).await;
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -248,6 +248,28 @@
     assert_eq!(node.client().read().body, b"new");
 }
 
+#[test]
+fn a_node_that_starts_while_discovery_is_down_serves_from_the_list_it_last_had() {
+    let backend = Backend::start(|_| ok("known"));
+    let down = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let config = config(down, &settings(LONG, ""), 1024);
+    let known = entry("s-0", backend.address, "in_service");
+    let node = Node::start(&config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]")), "");
+    until(|| node.is_ready(), "readiness");
+    assert_eq!(node.client().read().body, b"known");
+}
+
+#[test]
+fn a_node_that_knows_no_backend_is_not_ready() {
+    let discovery = Discovery::start();
+    let node = Node::start(&config(discovery.address, &settings(LONG, ""), 1024), "");
+    let mut watch = discovery.call();
+    assert!(!node.is_ready());
+    watch.open();
+    watch.line(&list(8, true, &[]));
+    until(|| node.is_ready(), "readiness");
+}
+
 #[test]
 fn a_silent_watch_is_broken() {
     let backend = Backend::start(|_| ok(""));
