--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -497,19 +497,24 @@
     const SERVER: ServerId = ServerId(1);
     const MINUTE: Duration = Duration::from_secs(60);
 
-    /// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
-    /// its backend was sent.
-    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, Backend, Duration)) -> (Outcome, String) {
+    /// A pool that knows one backend, which listens.
+    fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, Backend) -> T) -> T {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let config = Config::parse(CONFIG).expect("good");
-            let (clock, entry) = (Clock::start(), ServerEntry { id: SERVER, ..ServerEntry::default() });
-            let pool = Pool::start(clock, &config);
-            let entry = ServerEntry { state: ServerState::Ready, ..entry };
+            let pool = Pool::start(Clock::start(), &Config::parse(CONFIG).expect("good"));
+            let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
             let backend = Backend { entry, address: listener.local_addr().expect("its address") };
-            let now = clock.now();
-            pool.update(ListKind::Full, std::slice::from_ref(&backend), now);
+            pool.update(ListKind::Full, std::slice::from_ref(&backend), pool.clock.now());
+            test(pool, listener, backend).await
+        })
+    }
+
+    /// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
+    /// its backend was sent.
+    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, Backend, Duration)) -> (Outcome, String) {
+        with_pool(async |pool, listener, backend| {
+            let now = pool.clock.now();
             let forward = Forward {
                 method: Method::POST,
                 path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
@@ -537,6 +542,51 @@
         })
     }
 
+    /// How many connections to the backend are idle in the pool.
+    fn idle(pool: &Pool) -> usize {
+        pool.places.borrow().get(&SERVER).map_or(0, |place| place.idle.len())
+    }
+
+    #[test]
+    fn who_waits_for_a_dial_takes_what_falls_free_and_the_late_dial_is_kept() {
+        with_pool(async |pool, _listener, _| {
+            let first = pool.take(SERVER).await.ok().expect("a connection");
+            let freed = first.task.id();
+            let mut second = std::pin::pin!(pool.take(SERVER));
+            tokio::select! {
+                biased;
+                _ = &mut second => panic!("the dial has not been up yet"),
+                () = std::future::ready(()) => pool.put(first),
+            }
+            let taken = second.await.ok().expect("a connection");
+            assert_eq!(taken.task.id(), freed);
+            while idle(&pool) == 0 {
+                tokio::task::yield_now().await;
+            }
+            let late = pool.take(SERVER).await.ok().expect("a connection");
+            assert_ne!(late.task.id(), freed);
+            assert_eq!(pool.open.get(), 2, "nothing further was dialled");
+        });
+    }
+
+    #[test]
+    fn a_connection_delivered_to_who_has_left_goes_back_to_the_pool() {
+        with_pool(async |pool, _listener, _| {
+            let first = pool.take(SERVER).await.ok().expect("a connection");
+            let freed = first.task.id();
+            let mut second = Box::pin(pool.take(SERVER));
+            tokio::select! {
+                biased;
+                _ = &mut second => panic!("the dial has not been up yet"),
+                () = std::future::ready(()) => pool.put(first),
+            }
+            assert_eq!(idle(&pool), 0);
+            drop(second);
+            assert_eq!(idle(&pool), 1);
+            assert_eq!(pool.take(SERVER).await.ok().map(|back| back.task.id()), Some(freed));
+        });
+    }
+
     #[test]
     fn an_attempt_that_nothing_has_overtaken_is_written() {
         assert_eq!(overtaken(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
