--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -550,7 +550,7 @@
     #[test]
     fn who_waits_for_a_dial_takes_what_falls_free_and_the_late_dial_is_kept() {
         with_pool(async |pool, _listener, _| {
-            let first = pool.take(SERVER).await.ok().expect("a connection");
+            let first = pool.take(SERVER).await.expect("a connection");
             let freed = first.task.id();
             let mut second = std::pin::pin!(pool.take(SERVER));
             tokio::select! {
@@ -558,12 +558,12 @@
                 _ = &mut second => panic!("the dial has not been up yet"),
                 () = std::future::ready(()) => pool.put(first),
             }
-            let taken = second.await.ok().expect("a connection");
+            let taken = second.await.expect("a connection");
             assert_eq!(taken.task.id(), freed);
             while idle(&pool) == 0 {
                 tokio::task::yield_now().await;
             }
-            let late = pool.take(SERVER).await.ok().expect("a connection");
+            let late = pool.take(SERVER).await.expect("a connection");
             assert_ne!(late.task.id(), freed);
             assert_eq!(pool.open.get(), 2, "nothing further was dialled");
         });
@@ -572,7 +572,7 @@
     #[test]
     fn a_connection_delivered_to_who_has_left_goes_back_to_the_pool() {
         with_pool(async |pool, _listener, _| {
-            let first = pool.take(SERVER).await.ok().expect("a connection");
+            let first = pool.take(SERVER).await.expect("a connection");
             let freed = first.task.id();
             let mut second = Box::pin(pool.take(SERVER));
             tokio::select! {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -137,9 +137,10 @@
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along() {
     let backend = Backend::start(|_| Reply::Silence);
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+    // Nothing else ends the attempt while the test waits.
+    let (node, _watch, _discovery) = serving(&settings(500_000, ""), &[&backend]);
     let mut client = node.client();
-    client.send_correct();
+    client.send("POST /correct/1", &common(500_000), b"sheet");
     backend.request();
     drop(client);
     backend.closed();
@@ -406,6 +407,34 @@
     assert!(clients[0].ended());
 }
 
+#[test]
+fn who_waits_to_come_in_takes_the_place_of_the_first_to_fall_idle() {
+    let (go, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let backends = [0, 1].map(|_| {
+        let gate = gate.clone();
+        Backend::start(move |message| {
+            if message.start.contains("/correct/") {
+                let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+            }
+            ok("")
+        })
+    });
+    let (node, _watch, _discovery) = serving_with(&settings(LONG, ""), &backends.each_ref(), 52, "");
+    let mut busy = [node.client(), node.client()];
+    busy.iter_mut().for_each(Client::send_correct);
+    until(|| backends.iter().map(Backend::count).sum::<usize>() == 2, "both requests at backends");
+    let mut waiting = node.client();
+    waiting.send("GET /health/ready", "", b"");
+    // The first answer frees no connection, it only leaves one idle.
+    go.send(()).expect("a backend waits");
+    assert_eq!(waiting.answer().expect("an answer").status(), 200);
+    go.send(()).expect("the other waits");
+    for client in &mut busy {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+}
+
 #[test]
 fn a_node_out_of_descriptors_serves_on_when_some_are_free_again() {
     let backend = Backend::start(|_| ok(""));
