Room is made only when a client waits for it

Seen: with the wake-up at falling idle taken out, the test on a client that waits to come in still passed. Cause: front.rs accept() closed the longest idle connection as soon as the limit was reached, with nobody waiting, and picked one that had just been accepted and had not sent its request yet; hyper closes such a connection at once, and its request may be on the way. Now it accepts first and makes room for that one; an accept cancelled by SIGTERM keeps what it holds.

--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -59,6 +59,9 @@
     longest_deadline: Duration,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     most_clients: usize,
+    /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
+    /// it may hold a request.
+    waiting: RefCell<Option<TcpStream>>,
     left: Notify,
 }
 
@@ -83,6 +86,7 @@
             longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
             clients: RefCell::default(),
             most_clients: config.client_connections,
+            waiting: RefCell::default(),
             left: Notify::new(),
         })
     }
@@ -96,6 +100,7 @@
         log("told to stop: unready, finishing what is held");
         self.closing.set(true);
         let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
+        self.serve_waiting();
         // A connection that waits in the queue may hold a request already: closing the listener would reset it.
         while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
             self.serve(stream);
@@ -116,23 +121,31 @@
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.clients.borrow().len() >= self.most_clients {
+            if self.waiting.borrow().is_none() {
+                match listener.accept().await {
+                    Ok((stream, _)) => drop(self.waiting.borrow_mut().replace(stream)),
+                    Err(e) => {
+                        // Out of descriptors, or the client has left already: neither is a reason to end.
+                        log(format_args!("cannot accept: {e}"));
+                        self.close_longest_idle();
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+            }
+            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients {
                 // Between requests a node may close a connection: the longest idle one makes room.
                 self.close_longest_idle();
                 self.left.notified().await;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
-                Err(e) => {
-                    // Out of descriptors, or the client has left already: neither is a reason to end.
-                    log(format_args!("cannot accept: {e}"));
-                    self.close_longest_idle();
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            self.serve_waiting();
         }
     }
 
+    fn serve_waiting(self: &Rc<Self>) {
+        let waiting = self.waiting.borrow_mut().take();
+        waiting.into_iter().for_each(|stream| self.serve(stream));
+    }
+
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
         let idle = clients.values().filter(|client| client.idle.get().is_some());
