A new configuration is taken in on SIGHUP instead of ending the node

Cause: main.rs had no handler, and the default action of SIGHUP is the end.

Now the signals' handlers come before all else; on SIGHUP the file is read again. A bad one is one log line. A new discovery address is watched at once from version 0 (its versions are its own), without the old one's pause; list and readiness stay. name, listen, limits and settings need a restart and are logged if they changed. The version that a watch starts from is now set after the node was told: a watch dropped in between would have skipped that list.

Tests: four over loopback (push with old version and known ignored, bad file and several signals in a row, ask mode, during a drain); all four fail without src's part.

--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -24,7 +24,7 @@
     settings: Box<RawValue>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 struct Limits {
     sockets: usize,
@@ -42,6 +42,7 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
+    limits: Limits,
     /// The most client connections, and the most connections to backends.
     pub client_connections: usize,
     pub backend_connections: usize,
@@ -85,10 +86,23 @@
             listen: file.listen,
             discovery: file.discovery,
             seed,
+            limits: file.limits,
             client_connections: connections / 2,
             backend_connections: connections - connections / 2,
             known: file.known.map(|known| known.get().to_owned()),
             site,
         })
     }
+
+    /// What differs in a later configuration and can't change in a node that runs. The seed is none of it:
+    /// it is new with each start.
+    pub fn fixed_that_differ(&self, later: &Config) -> Vec<&'static str> {
+        let fixed = [
+            ("name", self.name != later.name),
+            ("listen", self.listen != later.listen),
+            ("limits", self.limits != later.limits),
+            ("settings", self.site != later.site),
+        ];
+        fixed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
 }
--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -121,7 +121,8 @@
         self.ready.clone()
     }
 
-    pub async fn run(mut self, orders: mpsc::Receiver<Order>) {
+    /// Keeps the list fresh, from `moved`'s address whenever that changes.
+    pub async fn run(mut self, orders: mpsc::Receiver<Order>, moved: watch::Receiver<SocketAddr>) {
         if let Some(known) = self.known.take() {
             self.take(known.as_bytes(), Some(ListKind::Cached)).await;
             // It may be old: the first call may still bring a newer one before clients come.
@@ -132,55 +133,87 @@
             });
         }
         if self.site.settings.list_on_request {
-            self.obey(orders).await;
+            self.obey(orders, moved).await;
         } else {
-            self.follow().await;
+            self.follow(moved).await;
         }
     }
 
     /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is.
-    async fn follow(&mut self) {
+    async fn follow(&mut self, mut moved: watch::Receiver<SocketAddr>) {
         let mut pause = FIRST_PAUSE;
         loop {
             let opened = Instant::now();
-            let broken = self.watch().await;
+            let broken = tokio::select! {
+                broken = self.watch() => broken,
+                address = next(&mut moved) => {
+                    self.turn_to(address);
+                    pause = FIRST_PAUSE;
+                    continue;
+                }
+            };
             let lasted = opened.elapsed() > LONGEST_PAUSE;
             pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
             log(format_args!("the watch broke: {broken}"));
-            sleep(self.jittered(pause)).await;
+            let jittered = self.jittered(pause);
+            tokio::select! {
+                () = sleep(jittered) => {}
+                address = next(&mut moved) => {
+                    self.turn_to(address);
+                    pause = FIRST_PAUSE;
+                }
+            }
         }
     }
 
     /// Lists must be asked for: the module says when. Every call that fails is told to it.
-    async fn obey(&mut self, mut orders: mpsc::Receiver<Order>) {
-        let mut watching = false;
+    async fn obey(&mut self, mut orders: mpsc::Receiver<Order>, mut moved: watch::Receiver<SocketAddr>) {
+        // What the module asked for, and whether there is a watch: it learns of a broken one and asks anew.
+        let (mut wanted, mut watching) = (false, false);
         loop {
-            let order = if watching {
-                tokio::select! {
-                    order = orders.recv() => order,
-                    broken = self.watch() => {
-                        log(format_args!("the watch broke: {broken}"));
-                        watching = false;
-                        self.tell(ListKind::Failed, Vec::new()).await;
-                        continue;
-                    }
+            let watch = async { if watching { self.watch().await } else { std::future::pending().await } };
+            let order = tokio::select! {
+                order = orders.recv() => order,
+                address = next(&mut moved) => {
+                    self.turn_to(address);
+                    watching = wanted;
+                    continue;
+                }
+                broken = watch => {
+                    log(format_args!("the watch broke: {broken}"));
+                    watching = false;
+                    self.tell(ListKind::Failed, Vec::new()).await;
+                    continue;
                 }
-            } else {
-                orders.recv().await
             };
             match order {
-                Some(Order::Subscribe(on)) => watching = on,
-                Some(Order::Fetch) => {
-                    if let Err(broken) = self.fetch().await {
+                Some(Order::Subscribe(on)) => (wanted, watching) = (on, on),
+                Some(Order::Fetch) => loop {
+                    let fetched = tokio::select! {
+                        fetched = self.fetch() => fetched,
+                        address = next(&mut moved) => {
+                            self.turn_to(address);
+                            watching = wanted;
+                            continue;
+                        }
+                    };
+                    if let Err(broken) = fetched {
                         log(format_args!("the list did not come: {broken}"));
                         self.tell(ListKind::Failed, Vec::new()).await;
                     }
-                }
+                    break;
+                },
                 None => return,
             }
         }
     }
 
+    /// Discovery is elsewhere from now on. The list stays until that has told the whole of its own, whose
+    /// versions need not be the old one's.
+    fn turn_to(&mut self, address: SocketAddr) {
+        (self.address, self.index) = (address, 0);
+    }
+
     /// Between half and all of it, so that nodes whose watches broke together do not call together.
     fn jittered(&mut self, pause: Duration) -> Duration {
         pause.mul_f64(0.5 + f64::from(self.random.next_u32()) / 2f64.powi(33))
@@ -257,10 +290,11 @@
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
         }
-        self.index = list.index;
         let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
         let kind = kind.unwrap_or(listed);
         self.tell(kind, backends).await;
+        // Only now: a watch that is dropped before has not told the node, and must be told again.
+        self.index = list.index;
         self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
     }
 
@@ -292,6 +326,14 @@
     }
 }
 
+/// The next address that discovery moves to.
+async fn next(moved: &mut watch::Receiver<SocketAddr>) -> SocketAddr {
+    match moved.changed().await {
+        Ok(()) => *moved.borrow_and_update(),
+        Err(_) => std::future::pending().await, // nobody is left to move it
+    }
+}
+
 /// A backend's number: made from its name alone, so that it is the same at every node (FNV-1a).
 fn number(name: &str) -> ServerId {
     ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -11,11 +11,13 @@
 use config::Config;
 use std::fmt::Display;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -51,12 +53,9 @@
 }
 
 fn main() -> ExitCode {
-    let ran = Config::from_env().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match ran {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start: {e}"));
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             log(what);
@@ -65,23 +64,27 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
-    let broken = |e: io::Error| format!("cannot listen for signals: {e}");
-    let mut terminate = signal(SignalKind::terminate()).map_err(broken)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(broken)?;
+async fn run() -> Result<(), String> {
+    // Before all else: a signal that comes without its handler ends the process.
+    let listen = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
+    let hang_up = listen(SignalKind::hangup())?;
+    let (mut terminate, mut interrupt) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
+    let config = Rc::new(Config::from_env()?);
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
+    let (moves, moved) = watch::channel(config.discovery);
     let pool = backend::Pool::start(clock, &config);
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, pool, messages.clone(), orders);
     let front = front::Front::new(clock, &config, messages, ready);
     let mut node = tokio::task::spawn_local(node.run(inbox));
-    let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders));
+    let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders, moved));
+    tokio::task::spawn_local(reload(hang_up, config.clone(), moves));
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {address}", config.name));
 
@@ -97,3 +100,25 @@
         ended = &mut discovery => Err(format!("discovery ended: {ended:?}")),
     }
 }
+
+/// Reads the configuration again at each SIGHUP. Discovery's address is all that can change in a node that
+/// runs; a file that can't be used changes nothing.
+async fn reload(mut hang_up: Signal, started: Rc<Config>, moves: watch::Sender<SocketAddr>) {
+    while hang_up.recv().await.is_some() {
+        let new = match Config::from_env() {
+            Ok(new) => new,
+            Err(what) => {
+                log(format_args!("{what}; the configuration stays as it was"));
+                continue;
+            }
+        };
+        let fixed = started.fixed_that_differ(&new).join(", ");
+        if !fixed.is_empty() {
+            log(format_args!("changed in the configuration, but only a restart takes it in: {fixed}"));
+        }
+        let moved =
+            moves.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
+        let what = if moved { "moved to" } else { "stays at" };
+        log(format_args!("configuration read again: discovery {what} {}", new.discovery));
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,7 +56,7 @@
 }
 
 /// All that a node takes from its settings text.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     /// What the module is told.
     pub settings: Settings,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -308,6 +308,93 @@
     assert_eq!(node.client().read().status(), 200);
 }
 
+// ---- New configurations -------------------------------------------------------------------------
+
+#[test]
+fn a_new_discovery_address_is_watched_at_once_and_the_list_stays_until_it_tells() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (node, watch, discovery) = serving(&settings(LONG, ""), &[&old]);
+    let elsewhere = Discovery::start();
+    // What the file knows is older than the list that the node has: here, that there is no backend.
+    node.reload(&config(elsewhere.address, &settings(LONG, ""), 1024));
+    let mut next = elsewhere.call();
+    assert!(next.start.contains("index=0 "), "the versions are another's: {}", next.start);
+    assert!(node.is_ready());
+    assert_eq!(node.client().read().body, b"old");
+    drop((watch, discovery));
+    next.open();
+    next.line(&list(3, true, &[entry("s-1", new.address, "in_service")]));
+    old.closed();
+    assert_eq!(node.client().read().body, b"new");
+    drop(next);
+    assert!(elsewhere.call().start.contains("index=3 "));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_changes_nothing() {
+    let backend = Backend::start(|_| ok("here"));
+    let (node, mut watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    node.reload("not JSON");
+    node.logged("the configuration stays as it was");
+    assert_eq!(node.client().read().body, b"here");
+    // The old watch goes on, and a good file is still taken in.
+    let moved = Backend::start(|_| ok("there"));
+    watch.line(&list(9, false, &[entry("s-0", moved.address, "in_service")]));
+    backend.closed();
+    assert_eq!(node.client().read().body, b"there");
+    let elsewhere = Discovery::start();
+    let other = config(elsewhere.address, &settings(LONG + 1, ""), 512).replace("\"n0\"", "\"n1\"");
+    node.reload(&other);
+    elsewhere.call();
+    node.logged("only a restart takes it in: name, limits, settings");
+    // And back again, several times in a row.
+    (0..5).for_each(|_| node.reload(&other));
+    node.reload(&config(discovery.address, &settings(LONG, ""), 1024));
+    assert!(discovery.call().start.contains("index=0 "));
+}
+
+#[test]
+fn where_the_list_must_be_asked_for_it_is_asked_for_at_the_new_address() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
+    let asked = asked.replace(r#""DrainGrace":2000"#, r#""DrainGrace":2000,"MustAskIn":1000"#);
+    let discovery = Discovery::start();
+    let node = Node::start(&config(discovery.address, &asked, 1024), "");
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &[entry("s-0", old.address, "in_service")]));
+    assert_eq!(node.client().read().body, b"old");
+    let elsewhere = Discovery::start();
+    node.reload(&config(elsewhere.address, &asked, 1024));
+    let mut next = elsewhere.call();
+    assert!(next.start.contains("index=0 "), "{}", next.start);
+    next.open();
+    next.line(&list(2, true, &[entry("s-1", new.address, "in_service")]));
+    old.closed();
+    assert_eq!(node.client().read().body, b"new");
+}
+
+#[test]
+fn a_configuration_that_comes_while_the_node_stops_does_not_end_what_it_holds() {
+    let (go, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
+    let backend = Backend::start(move |_| {
+        let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+        ok("held")
+    });
+    let (mut node, _watch, discovery) = serving(&settings(LONG, ""), &[&backend]);
+    let mut held = node.client();
+    held.send_correct();
+    backend.request();
+    node.terminate();
+    node.logged("told to stop");
+    node.reload(&config(discovery.address, &settings(LONG, ""), 1024));
+    node.logged("read again");
+    go.send(()).expect("the backend waits");
+    assert_eq!(held.answer().expect("what was taken is answered").body, b"held");
+    assert_eq!(node.exit().code(), Some(0));
+}
+
 // ---- Start, end and limits ----------------------------------------------------------------------
 
 #[test]
@@ -458,7 +545,7 @@
         good.replace(r#""Name":"correct""#, r#""Name":"read""#),
     ];
     for config in cases {
-        let output = command(&config, "").output().expect("it runs");
+        let output = command(&config, "").0.output().expect("it runs");
         let said = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{config}");
         assert!(said.starts_with("sillward: bad configuration: ") && said.lines().count() == 1, "{said}");
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -229,6 +230,7 @@
 
 pub struct Node {
     child: Child,
+    path: PathBuf,
     pub address: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -236,15 +238,15 @@
 static NUMBER: AtomicUsize = AtomicUsize::new(0);
 
 /// The node's command, with its configuration in a file. `shell` goes before it.
-pub fn command(config: &str, shell: &str) -> Command {
+pub fn command(config: &str, shell: &str) -> (Command, PathBuf) {
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
     let name = format!("config-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("a place for the configuration");
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(format!("{shell}exec \"$0\"")).arg(env!("CARGO_BIN_EXE_sillward"));
     command.env("PROXY_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-    command
+    (command, path)
 }
 
 pub fn config(discovery: SocketAddr, settings: &str, sockets: usize) -> String {
@@ -257,7 +259,8 @@
 
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
-        let mut child = command(config, shell).spawn().expect("the node starts");
+        let (mut command, path) = command(config, shell);
+        let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let first = lines.next().expect("a first line");
         let address = first.rsplit(' ').next().and_then(|address| address.parse().ok());
@@ -265,7 +268,7 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Node { child, address, log }
+        Node { child, path, address, log }
     }
 
     pub fn client(&self) -> Client {
@@ -281,9 +284,20 @@
         until(|| self.log.lock().expect("the log").iter().any(|line| line.contains(text)), text);
     }
 
-    pub fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another configuration in the place of the one it has, and says so.
+    pub fn reload(&self, config: &str) {
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, config).and_then(|()| std::fs::rename(&new, &self.path)).expect("a new file");
+        self.signal("-HUP");
     }
 
     pub fn exit(&mut self) -> ExitStatus {
