Load reports are read, and answers that make no sense shut nobody out

Reports name their fields as the settings do (concurrent, depth); Column::on_sockets knew the protocol's example names only, so every report of the landed node was read as empty: no idle sign ever reached the module. Both names count now. 2. What hyper can't parse (noise, ICY, OK 200, no colon, two lengths, bad chunks) ended as Reset, and one Reset ejects. 469 such answers came from 8 backends alike. They are Error now: may have run, as before, and judged by their share. Checked in the trace and ruled out: a short length that passes for a whole 200 (each spoilt length is one that hyper rejects: -1, or two that differ); bytes behind an answer read as the next one (all those connections were closed by the node).

Tests: both fail without src's part (1 and 20 requests; 26 and 34).

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind::InvalidData, ErrorKind::InvalidInput};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -346,7 +347,7 @@
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
                     Some(_) => written.set(false),
-                    None => return (Outcome::Reset, None, None),
+                    None => return (broken(e.error()), None, None),
                 },
             }
         }
@@ -397,7 +398,7 @@
                 log(format_args!("server {:x}: an answer over {BODY_LIMIT} bytes was dropped", server.0));
                 return (Outcome::Error, report, None);
             }
-            Err(_) => return (Outcome::Reset, None, None),
+            Err(e) => return (e.downcast_ref().map_or(Outcome::Reset, broken), None, None),
         };
         self.put(connection);
         let turned_away = head.headers.get("x-rejected").is_some_and(|value| value == "1");
@@ -428,8 +429,9 @@
         let address = self.places.borrow().get(&server).and_then(|place| place.address);
         let Some(address) = address else { return (Outcome::NotSent, None) };
         request.headers_mut().insert(HOST, host(address));
-        let Ok(response) = connection.sender.send_request(request).await else {
-            return (Outcome::Reset, None);
+        let response = match connection.sender.send_request(request).await {
+            Ok(response) => response,
+            Err(e) => return (broken(&e), None),
         };
         let (outcome, in_head, body) = self.answered(server, connection, response).await;
         let in_body = || {
@@ -463,6 +465,15 @@
     }
 }
 
+/// What an answer that did not come whole says of its backend. Where the connection ended, the process may have
+/// died. Where the bytes made no sense, something answers there: one such answer is a failure like another, and
+/// no reason to leave the backend out.
+fn broken(error: &hyper::Error) -> Outcome {
+    let cause = std::error::Error::source(error).and_then(|cause| cause.downcast_ref::<io::Error>());
+    let nonsense = |cause: &io::Error| matches!(cause.kind(), InvalidInput | InvalidData);
+    if error.is_parse() || cause.is_some_and(nonsense) { Outcome::Error } else { Outcome::Reset }
+}
+
 fn host(address: SocketAddr) -> HeaderValue {
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("backend"))
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,15 +27,16 @@
 }
 
 impl Column {
-    /// The column that a load report in a header or a probe's body calls by this name.
+    /// The column that a load report in a header or a probe's body calls by this name: the settings' own, or
+    /// the protocol's.
     pub fn on_sockets(name: &str) -> Self {
         match name {
-            "inflight" => Column::Concurrent,
-            "queue" => Column::Depth,
-            "util" => Column::LoadShare,
-            "latency_ms" => Column::MeanMs,
-            "qps" => Column::Tps,
-            "eps" => Column::ErrPs,
+            "concurrent" | "inflight" => Column::Concurrent,
+            "depth" | "queue" => Column::Depth,
+            "load_share" | "util" => Column::LoadShare,
+            "mean_ms" | "latency_ms" => Column::MeanMs,
+            "tps" | "qps" => Column::Tps,
+            "err_ps" | "eps" => Column::ErrPs,
             _ => Column::Unknown,
         }
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -147,6 +147,44 @@
     assert!(node.is_ready());
 }
 
+/// Answers that can't be read come from any backend: were each a reason to leave its backend out, soon none
+/// would be left.
+#[test]
+fn an_answer_that_makes_no_sense_does_not_shut_its_backend_out() {
+    let nonsense: [&'static [u8]; 4] = [
+        b"\x01\xf3 no HTTP\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n0\r\n\r\n",
+    ];
+    // Whoever is left out stays so for the length of the test.
+    let settings = settings(LONG, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
+    for bytes in nonsense {
+        let (one, two) = first(move || Reply::Raw(bytes));
+        let (node, _watch, _discovery) = serving(&settings, &[&one, &two]);
+        let mut client = node.client();
+        (0..20).for_each(|_| assert_eq!(client.read().body, b"second"));
+        assert!(one.count() >= 5 && two.count() >= 5, "{} and {}", one.count(), two.count());
+    }
+}
+
+/// Reports name their fields as the settings do, or as the protocol does. A node that reads none of them sends
+/// as much to who is crowded as to who is idle.
+#[test]
+fn who_reports_that_it_is_idle_is_joined() {
+    for (idle, crowded) in [
+        ("X-Load-Report: concurrent=0,depth=0\r\n", "X-Load-Report: concurrent=9.970,depth=5.012\r\n"),
+        ("X-Load-Report: inflight=0,queue=0\r\n", "X-Load-Report: inflight=10,queue=5\r\n"),
+    ] {
+        let idle = Backend::start(move |_| Reply::Answer("200 OK", idle, vec![]));
+        let crowded = Backend::start(move |_| Reply::Answer("200 OK", crowded, vec![]));
+        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&idle, &crowded]);
+        let mut client = node.client();
+        (0..60).for_each(|_| assert_eq!(client.read().status(), 200));
+        assert!(idle.count() > 2 * crowded.count(), "{} and {}", idle.count(), crowded.count());
+    }
+}
+
 // ---- Connections --------------------------------------------------------------------------------
 
 #[test]
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -59,6 +59,8 @@
     Answer(&'static str, &'static str, Vec<u8>),
     /// These bytes, and then the connection ends.
     Break(Vec<u8>),
+    /// These bytes, and the connection stays.
+    Raw(&'static [u8]),
     /// Nothing, for as long as the node waits.
     Silence,
 }
@@ -145,6 +147,7 @@
                 let _ = writer.shutdown(Shutdown::Both);
                 break;
             }
+            Reply::Raw(bytes) => drop(writer.write_all(bytes)),
             Reply::Silence => {}
         }
     }
