One reset shuts nobody out, and a new node may send one request to each server

Cause: learn() judged a Reset with weight 1, which ejects at once; resets come from sound servers too, and a dead one shows as ConnectFailed. And in_time began at 0.25 for all levels: at the start nobody was sent a second request while one was out. Now a Reset counts as other failures do (of attempts and probes), and level 1 is open at the start.

Test: a broken connection shuts nobody out; without the change 1 and 20 requests.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,7 @@
         (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
         (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
+        node.in_time[..2].fill(0.75);
         node
     }
 
@@ -349,8 +350,8 @@
                 }
                 self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
-            _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut) => {
+            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
+            _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset) => {
                 self.judge(end.server, 1.0, SMOOTH * 2.0)
             }
             _ => {}
@@ -534,7 +535,7 @@
         }
         match end.outcome {
             Outcome::Served => self.on_report(end.server, end.report, true),
-            Outcome::ConnectFailed | Outcome::Reset => self.judge(end.server, 1.0, 1.0),
+            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
             _ => {}
         }
         self.probes_out = self.probes_out.saturating_sub(1);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -168,6 +168,17 @@
     }
 }
 
+/// Connections break under requests at sound backends too. Who can't be reached at all is another matter.
+#[test]
+fn a_connection_that_breaks_under_a_request_does_not_shut_its_backend_out() {
+    let settings = settings(LONG, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
+    let (one, two) = first(|| Reply::Break(vec![]));
+    let (node, _watch, _discovery) = serving(&settings, &[&one, &two]);
+    let mut client = node.client();
+    (0..20).for_each(|_| assert_eq!(client.read().body, b"second"));
+    assert!(one.count() >= 5 && two.count() >= 5, "{} and {}", one.count(), two.count());
+}
+
 /// Reports name their fields as the settings do, or as the protocol does. A node that reads none of them sends
 /// as much to who is crowded as to who is idle.
 #[test]
