--- a/src/policy.rs
+++ b/src/policy.rs
@@ -530,13 +530,10 @@
     }
 
     fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
-        if let Some(server) = self.servers.get_mut(&end.server) {
-            (server.probing, server.load) = (false, None);
-        }
-        match end.outcome {
-            Outcome::Served => self.on_report(end.server, end.report, true),
-            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
-            _ => {}
+        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
+        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
+        if end.outcome == Outcome::ConnectFailed {
+            self.judge(end.server, 1.0, 1.0);
         }
         self.probes_out = self.probes_out.saturating_sub(1);
         let last = self.probes_out == 0;
