--- a/src/bin/sillward/config.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,10 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
+#![forbid(unsafe_code)]
 
-use crate::front::READ_BUFFER;
 use hillpick::settings::{self, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use sillward_core::READ_BUFFER;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
--- /dev/null
+++ b/crates/core/src/intake.rs
@@ -0,0 +1,67 @@
+//! The way from a front to the node, for one request at a time.
+
+use crate::{Answer, Call, Message};
+use hillpick::{NewRequest, RequestId};
+use sillward_seam::Clock;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// A request that a front has taken.
+pub struct Taken {
+    pub new: NewRequest,
+    /// When its last byte had come.
+    pub at: Duration,
+    pub call: Call,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// Takes requests in, for every front.
+#[derive(Clone)]
+pub struct Intake {
+    clock: Clock,
+    messages: mpsc::Sender<Message>,
+    /// The last number that a request was given.
+    numbers: Rc<Cell<u64>>,
+}
+
+impl Intake {
+    pub fn new(clock: Clock, messages: mpsc::Sender<Message>) -> Self {
+        Intake { clock, messages, numbers: Rc::default() }
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Hands a request to the node, under a number of its own, and waits for its one answer. Dropped before
+    /// that, it tells the node that the client has left. `None` if the node has ended.
+    pub async fn submit(&self, mut new: NewRequest, call: Call, at: Duration) -> Option<Answer> {
+        self.numbers.set(self.numbers.get() + 1);
+        new.id = RequestId(self.numbers.get());
+        let (reply, answer) = oneshot::channel();
+        // The place for the news that the client has left is kept now: a drop can't wait for one.
+        let place = self.messages.clone().reserve_owned().await.ok()?;
+        let mut gone = Gone { id: new.id, place: Some(place) };
+        let taken = Box::new(Taken { new, at, call, reply });
+        self.messages.send(Message::Request(taken)).await.ok()?;
+        let answer = answer.await.unwrap_or(Answer::Failed);
+        gone.place = None;
+        Some(answer)
+    }
+}
+
+/// A client that leaves drops the future that serves it, and this with it.
+struct Gone {
+    id: RequestId,
+    place: Option<mpsc::OwnedPermit<Message>>,
+}
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        if let Some(place) = self.place.take() {
+            place.send(Message::ClientGone(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/news.rs
@@ -0,0 +1,23 @@
+//! What the node is told of the list of backends, and what it asks of whoever keeps that list.
+
+use hillpick::{ListKind, ServerEntry};
+use std::net::SocketAddr;
+
+/// A line of the list, and where that backend listens.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    pub entry: ServerEntry,
+    pub address: SocketAddr,
+}
+
+/// News of the list.
+pub struct News {
+    pub kind: ListKind,
+    pub backends: Vec<Backend>,
+}
+
+/// What the module asks of discovery, where the list must be asked for.
+pub enum Order {
+    Subscribe(bool),
+    Fetch,
+}
--- a/src/bin/sillward/node.rs
+++ b/crates/core/src/node.rs
@@ -1,69 +1,19 @@
 //! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
-use crate::Clock;
-use crate::backend::{Attempt, Backends, Ended, ProbeEnded, Stop};
-use crate::config::Config;
-use crate::discovery::{News, Order};
-use crate::log::{log, log_peer};
-use bytes::Bytes;
+use crate::{Answer, Attempt, Backends, Call, Ended, Message, Order, ProbeEnded, Stop, Taken};
 use hillpick::*;
-use hyper::Method;
-use hyper::header::HeaderValue;
-use hyper::http::uri::PathAndQuery;
-use std::cell::Cell;
+use sillward_log::{log, log_peer};
+use sillward_seam::Clock;
+use sillward_seam::task::spawn_local;
+use sillward_seam::time::sleep_until;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
-use tokio::time::sleep_until;
-
-/// What reaches the node.
-pub enum Message {
-    Request(Box<Taken>),
-    ClientGone(RequestId),
-    Attempt(Ended),
-    Probe(ProbeEnded),
-    List(News),
-}
-
-/// A request that the front has taken.
-pub struct Taken {
-    pub new: NewRequest,
-    /// When its last byte had come.
-    pub at: Duration,
-    pub forward: Forward,
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Answer {
-    Served(Bytes),
-    Refused(Option<Duration>),
-    Failed,
-    TimedOut,
-}
-
-/// What all attempts of a request share: what goes on unchanged, and what binds them.
-pub struct Forward {
-    pub method: Method,
-    pub path: PathAndQuery,
-    pub call_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub body: Bytes,
-    /// When the client stops waiting.
-    pub deadline: Duration,
-    /// How long backends remember a keyed request, from the first byte of the first attempt.
-    pub window: Option<Duration>,
-    pub first_byte: Cell<Option<Duration>>,
-    /// It has its final answer, or its client has left: nothing more is sent for it.
-    pub over: Cell<bool>,
-}
 
 struct Held {
-    forward: Rc<Forward>,
+    call: Rc<Call>,
     /// The way to the client, until the final answer has gone there.
     reply: Option<oneshot::Sender<Answer>>,
     /// In the order of Send; an attempt's number is its place.
@@ -83,7 +33,7 @@
 impl Held {
     /// The one place where a final answer leaves. False if there has been one.
     fn answer(&mut self, answer: Answer) -> bool {
-        self.forward.over.set(true);
+        self.call.over.set(true);
         // An error means that the client has just left: then no answer is owed.
         self.reply.take().map(|reply| reply.send(answer)).is_some()
     }
@@ -101,7 +51,7 @@
 pub struct Node {
     clock: Clock,
     balancer: Balancer,
-    backends: Rc<Backends>,
+    backends: Rc<dyn Backends>,
     messages: mpsc::Sender<Message>,
     discovery: mpsc::Sender<Order>,
     tick: Duration,
@@ -114,12 +64,12 @@
 impl Node {
     pub fn new(
         clock: Clock,
-        config: &Config,
-        backends: Rc<Backends>,
+        settings: Settings,
+        seed: u64,
+        backends: Rc<dyn Backends>,
         messages: mpsc::Sender<Message>,
         discovery: mpsc::Sender<Order>,
     ) -> Self {
-        let settings = config.site.settings.clone();
         Node {
             clock,
             backends,
@@ -127,7 +77,7 @@
             discovery,
             tick: settings.tick,
             max_attempts: settings.limits.max_attempts.max(1) as usize,
-            balancer: Balancer::new(settings, config.seed),
+            balancer: Balancer::new(settings, seed),
             held: BTreeMap::new(),
             timers: BTreeMap::new(),
             timers_set: 0,
@@ -179,7 +129,7 @@
             Message::ClientGone(id) => {
                 let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
                 held.reply = None;
-                held.forward.over.set(true);
+                held.call.over.set(true);
                 self.decide(Event::ClientGone { id });
                 self.forget(id);
             }
@@ -189,7 +139,7 @@
                 self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
             }
             Message::List(news) => {
-                self.backends.pool.update(news.kind, &news.backends, self.clock.now());
+                self.backends.listed(&news, self.clock.now());
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
@@ -197,12 +147,12 @@
     }
 
     fn on_request(&mut self, taken: Box<Taken>) {
-        let Taken { mut new, at, forward, reply } = *taken;
-        let (id, deadline) = (new.id, forward.deadline);
+        let Taken { mut new, at, call, reply } = *taken;
+        let (id, deadline) = (new.id, call.deadline);
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
         let (attempts, timers) = (Vec::new(), Vec::new());
-        self.held.insert(id, Held { forward: Rc::new(forward), reply: Some(reply), attempts, timers });
+        self.held.insert(id, Held { call: Rc::new(call), reply: Some(reply), attempts, timers });
         // A tick early: the answer is to be with the client before it gives up.
         self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
         self.decide(Event::Request(new));
@@ -215,8 +165,8 @@
         (out.ended, out.stop) = (true, None);
         let (server, sent) = (out.server, out.sent);
         // The first served answer is the client's; a later one only informs the module.
-        if let Some(body) = ended.body {
-            held.answer(Answer::Served(body));
+        if let Some(answer) = ended.answer {
+            held.answer(Answer::Served(answer));
         }
         let finished = held.reply.is_none();
         self.decide(Event::AttemptEnded(AttemptEnd {
@@ -274,7 +224,7 @@
             Action::Cancel { id, attempt } => self.stop(id, attempt, Stop::Cancelled),
             Action::SetTimer { after, token } => self.set(self.clock.now() + after, Due::Module(token)),
             Action::Probe { server } => self.probe(server),
-            Action::CloseIdle { server } => self.backends.pool.close_idle(server),
+            Action::CloseIdle { server } => self.backends.close_idle(server),
             Action::Subscribe { on } => self.order(Order::Subscribe(on)),
             Action::FetchList => self.order(Order::Fetch),
             // No message between nodes: the module sends none, and the site allows none.
@@ -288,7 +238,7 @@
         let now = self.clock.now();
         let held = self.held.get_mut(&id)?;
         let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
-        let deadline = held.forward.deadline;
+        let deadline = held.call.deadline;
         if finished || now >= deadline || held.attempts.len() >= self.max_attempts {
             held.attempts.push(Out { server, sent: now, stop: None, ended: true });
             return Some(Event::AttemptEnded(AttemptEnd {
@@ -303,21 +253,22 @@
         }
         let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
-        let attempt = Attempt { id, number, server, until, forward: held.forward.clone() };
+        let attempt = Attempt { id, number, server, until, call: held.call.clone() };
         held.attempts.push(Out { server, sent: now, stop: Some(stop), ended: false });
         self.set(until, Due::Attempt(id, number));
-        let (backends, messages) = (self.backends.clone(), self.messages.clone());
+        let (work, messages) = (self.backends.clone().attempt(attempt, stopped), self.messages.clone());
         spawn_local(async move {
-            let ended = backends.attempt(attempt, stopped).await;
+            let ended = work.await;
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
     }
 
     fn probe(&mut self, server: ServerId) {
-        let (sent, backends, messages) = (self.clock.now(), self.backends.clone(), self.messages.clone());
+        let (sent, messages) = (self.clock.now(), self.messages.clone());
+        let work = self.backends.clone().probe(server);
         spawn_local(async move {
-            let (outcome, report) = backends.probe(server).await;
+            let (outcome, report) = work.await;
             let _ = messages.send(Message::Probe(ProbeEnded { server, outcome, sent, report })).await;
         });
     }
--- /dev/null
+++ b/crates/core/src/report.rs
@@ -0,0 +1,36 @@
+//! Load reports as text, whichever protocol carries them.
+
+use hillpick::settings::Column;
+use hillpick::{LoadReport, ReportSource};
+
+/// Which load reports a site has, and from where.
+#[derive(Clone)]
+pub struct Reports {
+    columns: Vec<Column>,
+    source: ReportSource,
+}
+
+impl Reports {
+    pub fn new(columns: Vec<Column>, source: ReportSource) -> Self {
+        Reports { columns, source }
+    }
+
+    /// Whether backends report their load at all.
+    pub fn any(&self) -> bool {
+        self.source != ReportSource::None
+    }
+
+    /// Reads `inflight=7,queue=2`; `None` unless all of it reads as told.
+    pub fn read(&self, text: &str) -> Option<LoadReport> {
+        let mut report = LoadReport::default();
+        for field in text.trim().split(',') {
+            let (name, value) = field.split_once('=')?;
+            let column = Column::on_sockets(name.trim());
+            let value: f32 = value.trim().parse().ok().filter(|v: &f32| v.is_finite() && *v >= 0.0)?;
+            if self.columns.contains(&column) {
+                column.set(&mut report, value);
+            }
+        }
+        Some(report)
+    }
+}
--- a/src/lib.rs
+++ b/crates/hillpick/src/lib.rs
@@ -17,5 +17,5 @@
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/src/bin/sillward/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,108 +1,108 @@
 //! The backends' side: attempts, what their answers tell, and probes.
 
-use crate::Clock;
-use crate::config::Config;
-use crate::log::log_peer;
-use crate::memory::Budget;
-use crate::node::Forward;
-use crate::pool::{Connection, Pool};
+use crate::socket::Socket;
 use bytes::Bytes;
-use hillpick::settings::Column;
-use hillpick::{LoadReport, Outcome, ReportSource, RequestId, ServerId};
+use hillpick::{LoadReport, Outcome, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
+use sillward_core::{
+    Attempt, BODY_LIMIT, Backends, Budget, Content, Ended, Exchanged, Form, News, PROBE_TIMEOUT, READ_BUFFER,
+    Reports, Stop, Task, run,
+};
+use sillward_log::log_peer;
+use sillward_pool::{Connection, Pool, Protocol};
+use sillward_seam::Stream;
+use sillward_seam::task::{AbortHandle, spawn_local};
+use sillward_seam::time::timeout;
 use std::cell::Cell;
 use std::io::{self, ErrorKind::InvalidData, ErrorKind::InvalidInput};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
-/// The most bytes of a body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
-/// A probe that is not answered by then tells nothing that is still true.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// So many connections in a row may turn out broken before a request was written to them.
 const BROKEN_IN_A_ROW: usize = 4;
 
-/// An attempt to be made.
-pub struct Attempt {
-    pub id: RequestId,
-    pub number: u32,
-    pub server: ServerId,
-    /// When the node stops waiting for it.
-    pub until: Duration,
-    pub forward: Rc<Forward>,
-}
+/// HTTP/1.1 over a connection to a backend.
+pub struct Http1;
 
-/// Why an attempt is stopped.
-pub enum Stop {
-    TimedOut,
-    Cancelled,
+/// Carries one request at a time.
+pub struct Carrier {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
 }
 
-/// How an attempt ended; with the body if it was served.
-pub struct Ended {
-    pub id: RequestId,
-    pub number: u32,
-    pub outcome: Outcome,
-    pub report: Option<LoadReport>,
-    pub body: Option<Bytes>,
+impl Drop for Carrier {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
-/// How a probe ended.
-pub struct ProbeEnded {
-    pub server: ServerId,
-    pub outcome: Outcome,
-    pub sent: Duration,
-    pub report: Option<LoadReport>,
+impl Protocol for Http1 {
+    type Carrier = Carrier;
+
+    async fn open(&self, stream: Stream) -> io::Result<Carrier> {
+        let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(Socket(stream)).await;
+        let (sender, connection) = opened.map_err(io::Error::other)?;
+        let task = spawn_local(async move {
+            let _ = connection.await; // its end shows in the request on it
+        });
+        Ok(Carrier { sender, task: task.abort_handle() })
+    }
+
+    fn is_closed(carrier: &Carrier) -> bool {
+        carrier.sender.is_closed()
+    }
 }
 
-pub struct Backends {
-    clock: Clock,
-    pub pool: Rc<Pool>,
+/// The backends that speak HTTP/1.1.
+pub struct Backend {
+    pool: Rc<Pool<Http1>>,
     /// Room for bodies, requests' and answers'.
     budget: Budget,
-    columns: Vec<Column>,
-    reports: ReportSource,
+    reports: Reports,
 }
 
-impl Backends {
-    pub fn new(clock: Clock, config: &Config, budget: Budget, pool: Rc<Pool>) -> Rc<Self> {
-        let (columns, reports) = (config.site.columns.clone(), config.site.settings.reports);
-        Rc::new(Backends { clock, pool, budget, columns, reports })
+impl Backends for Backend {
+    fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Task<Ended> {
+        Box::pin(async move {
+            let written = Cell::new(false);
+            run(&attempt, &written, self.exchange(&attempt, &written), stopped).await
+        })
     }
 
-    /// Makes an attempt, until it ends or is stopped.
-    pub async fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Ended {
-        let written = Cell::new(false);
-        let (outcome, report, body) = tokio::select! {
-            biased;
-            ended = self.exchange(&attempt, &written) => ended,
-            // The exchange is dropped, and its connection closes.
-            stop = stopped => (match stop {
-                _ if !written.get() => Outcome::NotSent,
-                Ok(Stop::TimedOut) => Outcome::TimedOut,
-                Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
-            }, None, None),
-        };
-        Ended { id: attempt.id, number: attempt.number, outcome, report, body }
+    fn probe(self: Rc<Self>, server: ServerId) -> Task<(Outcome, Option<LoadReport>)> {
+        Box::pin(async move {
+            timeout(PROBE_TIMEOUT, self.probed(server)).await.unwrap_or((Outcome::TimedOut, None))
+        })
     }
 
-    async fn exchange(
-        self: &Rc<Self>,
-        attempt: &Attempt,
-        written: &Cell<bool>,
-    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+    fn listed(&self, news: &News, now: Duration) {
+        self.pool.update(news, now);
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.pool.close_idle(server);
+    }
+}
+
+impl Backend {
+    pub fn new(pool: Rc<Pool<Http1>>, budget: Budget, reports: Reports) -> Rc<Self> {
+        Rc::new(Backend { pool, budget, reports })
+    }
+
+    async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
         for _ in 0..BROKEN_IN_A_ROW {
             let mut connection = match self.pool.take(attempt.server).await {
                 Ok(connection) => connection,
                 Err(outcome) => return (outcome, None, None),
             };
-            if connection.sender.ready().await.is_err() {
+            if connection.carrier.sender.ready().await.is_err() {
                 continue;
             }
             // Time has passed since the decision: what was permitted then may not be any more.
@@ -111,8 +111,23 @@
                 return (Outcome::NotSent, None, None);
             };
             written.set(true);
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.answered(attempt.server, connection, response).await,
+            match connection.carrier.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let (mut outcome, report, body) =
+                        self.answered(attempt.server, connection, response).await;
+                    let form = attempt.call.content.form;
+                    let is_answer =
+                        |body: &Bytes| attempt.call.judge.as_ref().is_none_or(|judge| judge(body));
+                    let answer = body.filter(is_answer).map(|bytes| Content { form, bytes });
+                    if outcome == Outcome::Served && answer.is_none() {
+                        log_peer(format_args!(
+                            "server {:x}: a body that is no answer to its call was dropped",
+                            attempt.server.0
+                        ));
+                        outcome = Outcome::Error;
+                    }
+                    return (outcome, report, answer);
+                }
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
                     Some(_) => written.set(false),
@@ -126,26 +141,32 @@
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
     /// window in which backends drop its repeats, and not once it has its answer.
     fn request(&self, attempt: &Attempt) -> Option<Request<Full<Bytes>>> {
-        let (now, forward) = (self.clock.now(), &attempt.forward);
+        let (now, call) = (self.pool.clock.now(), &attempt.call);
         let address = self.pool.address(attempt.server)?;
-        let forgotten =
-            forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
-        if forward.over.get() || now >= attempt.until || forgotten {
+        let value = |bytes: &Bytes| HeaderValue::from_maybe_shared(bytes.clone()).ok();
+        let target = PathAndQuery::from_maybe_shared(call.target.clone()).ok()?;
+        let call_id = value(&call.call_id)?;
+        let key = match &call.idempotency_key {
+            Some(key) => Some(value(key)?),
+            None => None,
+        };
+        if !call.claim(now, attempt.until) {
             return None;
         }
         let left = (attempt.until - now).as_millis().max(1) as u64;
-        let mut request = Request::new(Full::new(forward.body.clone()));
-        *request.method_mut() = forward.method.clone();
-        *request.uri_mut() = forward.path.clone().into();
+        let mut request = Request::new(Full::new(call.content.bytes.clone()));
+        let plain = call.content.form == Form::PLAIN;
+        *request.method_mut() = if call.safe && plain { Method::GET } else { Method::POST };
+        *request.uri_mut() = target.into();
         let headers = request.headers_mut();
         headers.insert(HOST, host(address));
-        headers.insert("x-call-id", forward.call_id.clone());
+        headers.insert("x-call-id", call_id);
         headers.insert("x-budget-ms", left.into());
-        if let Some(key) = &forward.idempotency_key {
-            headers.insert("idempotency-key", key.clone());
+        if let Some(key) = key {
+            headers.insert("idempotency-key", key);
         }
-        if forward.first_byte.get().is_none() {
-            forward.first_byte.set(Some(now));
+        if !plain {
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static(call.content.form.0));
         }
         Some(request)
     }
@@ -154,7 +175,7 @@
     async fn answered(
         &self,
         server: ServerId,
-        connection: Connection,
+        connection: Connection<Http1>,
         response: Response<Incoming>,
     ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
         let (head, body) = response.into_parts();
@@ -187,11 +208,6 @@
         }
     }
 
-    /// Asks a backend for its load, or for a sign of life where it reports none.
-    pub async fn probe(self: Rc<Self>, server: ServerId) -> (Outcome, Option<LoadReport>) {
-        timeout(PROBE_TIMEOUT, self.probed(server)).await.unwrap_or((Outcome::TimedOut, None))
-    }
-
     async fn probed(self: &Rc<Self>, server: ServerId) -> (Outcome, Option<LoadReport>) {
         let mut connection = match self.pool.take(server).await {
             Ok(connection) => connection,
@@ -199,44 +215,30 @@
         };
         let mut request = Request::new(Full::default());
         *request.method_mut() = Method::GET;
-        let reports = self.reports != ReportSource::None;
+        let reports = self.reports.any();
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
         let Some(address) = self.pool.address(server) else { return (Outcome::NotSent, None) };
         request.headers_mut().insert(HOST, host(address));
-        let response = match connection.sender.send_request(request).await {
+        let response = match connection.carrier.sender.send_request(request).await {
             Ok(response) => response,
             Err(e) => return (broken(&e), None),
         };
         let (outcome, in_head, body) = self.answered(server, connection, response).await;
         let in_body = || {
             let body = body.filter(|_| reports)?;
-            self.report(std::str::from_utf8(&body).ok()?)
+            self.reports.read(std::str::from_utf8(&body).ok()?)
         };
         (outcome, in_body().or(in_head))
     }
 
     fn report_in(&self, headers: &HeaderMap) -> Option<LoadReport> {
-        let value = headers.get("x-load-report").filter(|_| self.reports != ReportSource::None)?;
-        let report = value.to_str().ok().and_then(|text| self.report(text));
+        let value = headers.get("x-load-report").filter(|_| self.reports.any())?;
+        let report = value.to_str().ok().and_then(|text| self.reports.read(text));
         if report.is_none() {
             log_peer(format_args!("a malformed load report was dropped: {value:?}"));
         }
         report
     }
-
-    /// Reads `inflight=7,queue=2`; `None` unless all of it reads as told.
-    fn report(&self, text: &str) -> Option<LoadReport> {
-        let mut report = LoadReport::default();
-        for field in text.trim().split(',') {
-            let (name, value) = field.split_once('=')?;
-            let column = Column::on_sockets(name.trim());
-            let value: f32 = value.trim().parse().ok().filter(|v: &f32| v.is_finite() && *v >= 0.0)?;
-            if self.columns.contains(&column) {
-                column.set(&mut report, value);
-            }
-        }
-        Some(report)
-    }
 }
 
 /// What an answer that did not come whole says of its backend. Where the connection ended, the process may have
@@ -255,46 +257,60 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::Backend;
-    use crate::pool::tests::{CONFIG, SERVER, with_pool};
-    use hillpick::{ListKind, ServerState};
-    use tokio::io::AsyncReadExt;
-    use tokio::task::spawn_local;
+    use hillpick::{ListKind, ReportSource, RequestId, ServerEntry, ServerState};
+    use sillward_core::Call;
+    use sillward_pool::{Sockets, Terms};
+    use sillward_seam::Clock;
+    use sillward_seam::net::TcpListener;
+    use sillward_seam::task::block_on;
 
+    const SERVER: ServerId = ServerId(1);
     const MINUTE: Duration = Duration::from_secs(60);
 
     /// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
     /// its backend was sent.
-    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, Backend, Duration)) -> (Outcome, String) {
-        with_pool(async |pool, listener, backend| {
+    fn overtaken(by: impl FnOnce(&Pool<Http1>, &mut Attempt, News, Duration)) -> (Outcome, String) {
+        block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let terms = Terms { idle_limit: MINUTE, connect_timeout: MINUTE, drain_grace: Duration::ZERO };
+            let pool = Pool::start(Clock::start(), Http1, terms, Sockets::new(10));
+            let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
+            let address = listener.local_addr().expect("its address");
+            let news = |kind| News { kind, backends: vec![sillward_core::Backend { entry, address }] };
+            pool.update(&news(ListKind::Full), pool.clock.now());
             let now = pool.clock.now();
-            let forward = Forward {
-                method: Method::POST,
-                path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
-                call_id: HeaderValue::from_static("1"),
+            let call = Call {
+                class: 0,
+                safe: false,
+                target: Bytes::from_static(b"/submit/1"),
+                call_id: Bytes::from_static(b"1"),
                 idempotency_key: None,
-                body: Bytes::new(),
+                content: Content::plain(Bytes::new()),
+                judge: None,
+                answered: true,
                 deadline: now + MINUTE,
                 window: Some(MINUTE),
                 first_byte: Cell::new(None),
                 over: Cell::new(false),
+                out: Cell::new(0),
             };
-            let (until, forward) = (now + MINUTE, Rc::new(forward));
-            let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, forward };
-            by(&pool, &mut attempt, backend, now);
+            let (until, call) = (now + MINUTE, Rc::new(call));
+            let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, call };
+            by(&pool, &mut attempt, news(ListKind::Changes), now);
             let (_stop, stopped) = oneshot::channel();
             let served = spawn_local(async move {
-                let (mut stream, _) = listener.accept().await.expect("a dial");
+                let (stream, _) = listener.accept().await.expect("a dial");
                 let mut sent = [0; 15];
-                let read = stream.read(&mut sent).await.unwrap_or_default();
+                let read = Stream::new(stream).0.read(&mut sent).await.unwrap_or_default();
                 String::from_utf8_lossy(&sent[..read]).into_owned()
             });
-            let config = Config::parse(CONFIG).expect("good");
-            let backends = Backends::new(Clock::start(), &config, Budget::new(1 << 20), pool.clone());
+            let reports = Reports::new(Vec::new(), ReportSource::None);
+            let backends = Backend::new(pool.clone(), Budget::new(1 << 20), reports);
             let ended = backends.attempt(attempt, stopped).await;
             pool.close_idle(SERVER);
             (ended.outcome, served.await.expect("the backend's part"))
         })
+        .expect("a runtime")
     }
 
     #[test]
@@ -307,14 +323,13 @@
         let nothing = || (Outcome::NotSent, String::new());
         let late = overtaken(|_, attempt, _, now| attempt.until = now);
         assert_eq!(late, nothing(), "its time is over");
-        let over = overtaken(|_, attempt, _, _| attempt.forward.over.set(true));
+        let over = overtaken(|_, attempt, _, _| attempt.call.over.set(true));
         assert_eq!(over, nothing(), "the request has its answer");
-        let forgotten =
-            overtaken(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
+        let forgotten = overtaken(|_, attempt, _, now| attempt.call.first_byte.set(Some(now - 2 * MINUTE)));
         assert_eq!(forgotten, nothing(), "backends have forgotten the first attempt of a keyed request");
-        let drained = overtaken(|pool, _, mut backend, now| {
-            backend.entry.state = ServerState::Draining;
-            pool.update(ListKind::Changes, &[backend], now);
+        let drained = overtaken(|pool, _, mut news, now| {
+            news.backends[0].entry.state = ServerState::Draining;
+            pool.update(&news, now);
         });
         assert_eq!(drained, nothing(), "the grace after the news of a drain is over");
     }
--- a/src/bin/sillward/front.rs
+++ b/crates/http1/src/front.rs
@@ -1,31 +1,28 @@
 //! The clients' side: keeps their connections, takes requests, and writes the final answers that the node gives.
 
-use crate::Clock;
-use crate::backend::BODY_LIMIT;
-use crate::config::Config;
-use crate::log::{log, log_peer};
-use crate::memory::Budget;
-use crate::node::{Answer, Forward, Message, Taken};
 use crate::request::{self, Bad};
-use crate::socket::{Handle, Socket};
+use crate::socket::Socket;
 use bytes::Bytes;
 use hillpick::settings::Site;
-use hillpick::{NewRequest, RequestId};
+use hillpick::{NewRequest, Repeat};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
+use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, READ_BUFFER};
+use sillward_log::{log, log_peer};
+use sillward_seam::net::{TcpListener, TcpStream};
+use sillward_seam::task::spawn_local;
+use sillward_seam::time::{Instant, sleep, timeout};
+use sillward_seam::{Handle, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::Notify;
 
 /// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
 const ACCEPT_ON: Duration = Duration::from_millis(450);
@@ -42,8 +39,6 @@
 const WATCH: Duration = Duration::from_millis(100);
 /// How much of a body is read on after its request was turned down.
 const READ_PAST: usize = 16 * BODY_LIMIT;
-/// What a connection may buffer: no head is longer. The least that hyper allows.
-pub const READ_BUFFER: usize = 8 * 1024;
 /// After an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -100,12 +95,11 @@
 }
 
 pub struct Front {
-    clock: Clock,
     site: Site,
-    messages: mpsc::Sender<Message>,
+    intake: Intake,
     ready: Rc<Cell<bool>>,
     closing: Cell<bool>,
-    /// The last number that a request or a connection was given.
+    /// The last number that a connection was given.
     numbers: Cell<u64>,
     longest_deadline: Duration,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -122,23 +116,22 @@
 
 impl Front {
     pub fn new(
-        clock: Clock,
-        config: &Config,
+        intake: Intake,
+        site: Site,
+        most_clients: usize,
         budget: Budget,
-        messages: mpsc::Sender<Message>,
         ready: Rc<Cell<bool>>,
     ) -> Rc<Self> {
-        let classes = config.site.settings.classes.iter();
+        let longest_deadline = site.settings.classes.iter().map(|class| class.deadline).max();
         Rc::new(Front {
-            clock,
-            site: config.site.clone(),
-            messages,
+            intake,
+            site,
             ready,
             closing: Cell::new(false),
             numbers: Cell::new(0),
-            longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
+            longest_deadline: longest_deadline.unwrap_or_default(),
             clients: RefCell::default(),
-            most_clients: config.client_connections,
+            most_clients,
             budget,
             open: RefCell::default(),
             waiting: RefCell::default(),
@@ -230,7 +223,7 @@
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let (socket, handle) = Socket::new(stream);
+        let (stream, handle) = Stream::new(stream);
         let now = Instant::now();
         let client = Rc::new(Client {
             socket: handle,
@@ -249,7 +242,7 @@
                 // Its time-out would run on idle connections too: `Client::look` tells them apart.
                 .header_read_timeout(None)
                 .max_buf_size(READ_BUFFER)
-                .serve_connection(socket, service);
+                .serve_connection(Socket(stream), service);
             let mut connection = std::pin::pin!(connection);
             let polite = async {
                 // Biased: a request that has come is read before the connection is told to close.
@@ -327,45 +320,41 @@
             return Ok(refusal(self.site.settings.limits.max_retry_after));
         };
         let body = request::read(body, request.length, room, until).await?;
-        let at = self.clock.now();
+        let at = self.intake.clock().now();
         // Its own, or another client's: that one's attempts must not be taken for this one's.
         let Some(_open) = Open::enter(&self.open, &request.call_id) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open"));
         };
         let new = NewRequest {
-            id: RequestId(self.next()),
             class: request.class,
             tenant: request.tenant,
             key: request.key,
             remaining: request.budget,
             cost: request.cost,
             client_retry: request.client_retry,
+            ..NewRequest::default()
         };
-        let forward = Forward {
-            method: request.method,
-            path: request.path,
-            call_id: request.call_id.clone(),
-            idempotency_key: request.idempotency_key,
-            body,
+        let bytes = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
+        let call = Call {
+            class: request.class,
+            safe: self.site.settings.classes[request.class].repeat == Repeat::Safe,
+            target: Bytes::copy_from_slice(request.path.as_str().as_bytes()),
+            call_id: bytes(&request.call_id),
+            idempotency_key: request.idempotency_key.as_ref().map(bytes),
+            content: Content::plain(body),
+            judge: None,
+            answered: true,
             deadline: at + request.budget,
             window: request.window,
             first_byte: Cell::new(None),
             over: Cell::new(false),
+            out: Cell::new(0),
         };
-        let (reply, answer) = oneshot::channel();
-        // The place for the news that the client has left is kept now: a drop can't wait for one.
-        let Ok(place) = self.messages.clone().reserve_owned().await else {
+        let Some(answer) = self.intake.submit(new, call, at).await else {
             return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
         };
-        let mut gone = Gone { id: new.id, place: Some(place) };
-        let taken = Box::new(Taken { new, at, forward, reply });
-        if self.messages.send(Message::Request(taken)).await.is_err() {
-            return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
-        }
-        let answer = answer.await.unwrap_or(Answer::Failed);
-        gone.place = None;
         Ok(match answer {
-            Answer::Served(body) => plain(StatusCode::OK, body),
+            Answer::Served(content) => plain(StatusCode::OK, content.bytes),
             Answer::Refused(after) => refusal(after),
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
             Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
@@ -391,20 +380,6 @@
     }
 }
 
-/// A client that leaves drops the future that serves it, and this with it.
-struct Gone {
-    id: RequestId,
-    place: Option<mpsc::OwnedPermit<Message>>,
-}
-
-impl Drop for Gone {
-    fn drop(&mut self) {
-        if let Some(place) = self.place.take() {
-            place.send(Message::ClientGone(self.id));
-        }
-    }
-}
-
 fn refusal(after: Option<Duration>) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1: the clients' side, the backends' side and what their messages must be.
+#![forbid(unsafe_code)]
+
+mod backend;
+mod front;
+mod request;
+mod socket;
+
+pub use backend::{Backend, Http1};
+pub use front::Front;
--- a/src/bin/sillward/request.rs
+++ b/crates/http1/src/request.rs
@@ -1,7 +1,5 @@
 //! What a client's request must be to be taken: the checks of its head, and the reading of its body.
 
-use crate::backend::BODY_LIMIT;
-use crate::memory::Lease;
 use bytes::{Bytes, BytesMut};
 use hillpick::Repeat;
 use hillpick::settings::Site;
@@ -11,9 +9,10 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
+use sillward_core::{BODY_LIMIT, Lease};
+use sillward_seam::time::{Instant, timeout_at};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
 
 const LONGEST_BUDGET_MS: u64 = 600_000;
 const LONGEST_ID: usize = 256;
@@ -27,7 +26,6 @@
 
 /// A head that has been checked, in the module's words and in those that go on.
 pub struct Checked {
-    pub method: Method,
     pub path: PathAndQuery,
     pub call_id: HeaderValue,
     pub idempotency_key: Option<HeaderValue>,
@@ -91,7 +89,6 @@
     }
     let cost = text(&head.headers, "x-call-cost").and_then(|text| text.parse().ok());
     Ok(Checked {
-        method,
         path,
         call_id,
         idempotency_key,
--- a/src/bin/sillward/log.rs
+++ b/crates/log/src/lib.rs
@@ -1,12 +1,15 @@
 //! The log: lines for the operators, on standard error. A thread of its own writes them, since nobody reading
 //! the log, or reading it slowly, is no reason to stop serving: what it can't take in time is left out.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
+use sillward_seam::time::Instant;
 use std::cell::Cell;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::sync::OnceLock;
 use std::sync::mpsc::{SyncSender, sync_channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Lines that may wait to be written.
 const WAITING: usize = 256;
--- a/src/bin/sillward/pool.rs
+++ b/crates/pool/src/lib.rs
@@ -1,59 +1,86 @@
 //! The pool of connections to backends: who may be sent to, where they listen, what is open and idle.
+//! Knows no protocol: what carries a request over a connection is a [`Protocol`] of its own.
+#![forbid(unsafe_code)]
 
-use crate::Clock;
-use crate::config::Config;
-use crate::discovery::Backend;
-use crate::log::log_peer;
-use crate::socket::{Handle, Socket};
-use bytes::Bytes;
 use hillpick::{ListKind, Outcome, ServerId, ServerState};
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use sillward_core::{Backend, News};
+use sillward_log::log_peer;
+use sillward_seam::net::TcpStream;
+use sillward_seam::task::spawn_local;
+use sillward_seam::time::{sleep, timeout};
+use sillward_seam::{Clock, Handle, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::timeout;
 
-/// No head of an answer is longer; it also bounds what a connection may buffer. The least that hyper allows.
-const READ_BUFFER: usize = 8 * 1024;
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const EADDRNOTAVAIL: i32 = 99;
 
+/// What a protocol makes of a connection.
+pub trait Protocol: 'static {
+    /// What carries requests over it. Dropped, it closes the connection.
+    type Carrier: 'static;
+
+    /// Makes a new connection ready.
+    fn open(&self, stream: Stream) -> impl Future<Output = io::Result<Self::Carrier>>;
+
+    /// Whether it is known to carry nothing more.
+    fn is_closed(carrier: &Self::Carrier) -> bool;
+}
+
+/// The connections to backends that may be open at once, of all pools together.
+pub struct Sockets {
+    open: Cell<usize>,
+    most: usize,
+}
+
+impl Sockets {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Sockets { open: Cell::new(0), most })
+    }
+}
+
 /// A connection to a backend. Dropped, it closes at once, whatever is under way on it.
-pub struct Connection {
+pub struct Connection<P: Protocol> {
     server: ServerId,
     /// Which run of the backend, at which address, it leads to.
     epoch: u64,
-    pub sender: SendRequest<Full<Bytes>>,
+    pub carrier: P::Carrier,
     socket: Handle,
-    task: AbortHandle,
-    open: Rc<Cell<usize>>,
+    sockets: Rc<Sockets>,
 }
 
-impl Connection {
+impl<P: Protocol> Connection<P> {
     /// Whether it may carry a request. What came behind an answer would be read as the next one.
     fn is_usable(&self) -> bool {
-        !self.sender.is_closed() && self.socket.is_quiet()
+        !P::is_closed(&self.carrier) && self.socket.is_quiet()
     }
 }
 
-impl Drop for Connection {
+impl<P: Protocol> Drop for Connection<P> {
     fn drop(&mut self) {
-        self.task.abort();
-        self.open.set(self.open.get() - 1);
+        self.sockets.open.set(self.sockets.open.get() - 1);
     }
 }
 
-pub type Delivery = Result<Connection, Outcome>;
+/// The times that a pool keeps.
+pub struct Terms {
+    /// An idle connection is used for so long.
+    pub idle_limit: Duration,
+    /// A connection not up after this time has failed.
+    pub connect_timeout: Duration,
+    /// Nothing is sent to a backend so long after it was told to drain or to be gone.
+    pub drain_grace: Duration,
+}
+
+pub type Delivery<P> = Result<Connection<P>, Outcome>;
 
-#[derive(Default)]
-struct Place {
+struct Place<P: Protocol> {
     address: Option<SocketAddr>,
     state: ServerState,
     started: Option<Duration>,
@@ -61,13 +88,28 @@
     /// When it was told that the backend drains or is gone.
     told: Option<Duration>,
     /// Idle connections, each with when it fell idle; the last used comes last.
-    idle: Vec<(Connection, Duration)>,
+    idle: Vec<(Connection<P>, Duration)>,
     /// Attempts that wait for a connection, and dials under way: never fewer dials than waiting attempts.
-    waiting: VecDeque<oneshot::Sender<Delivery>>,
+    waiting: VecDeque<oneshot::Sender<Delivery<P>>>,
     dialling: usize,
 }
 
-impl Place {
+impl<P: Protocol> Default for Place<P> {
+    fn default() -> Self {
+        Place {
+            address: None,
+            state: ServerState::default(),
+            started: None,
+            epoch: 0,
+            told: None,
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            dialling: 0,
+        }
+    }
+}
+
+impl<P: Protocol> Place<P> {
     fn drop_idle(&mut self) {
         self.epoch += 1;
         self.idle.clear();
@@ -76,37 +118,25 @@
 
 /// A day brings ever new backends. Nothing is sent any more to one that is gone, whoever decided to; only a dial
 /// under way still looks for its place.
-fn drop_gone(places: &mut BTreeMap<ServerId, Place>) {
+fn drop_gone<P: Protocol>(places: &mut BTreeMap<ServerId, Place<P>>) {
     places.retain(|_, place| place.state != ServerState::Gone || place.dialling > 0);
 }
 
-pub struct Pool {
+pub struct Pool<P: Protocol> {
     pub clock: Clock,
-    places: RefCell<BTreeMap<ServerId, Place>>,
-    open: Rc<Cell<usize>>,
-    most_open: usize,
-    idle_limit: Duration,
-    connect_timeout: Duration,
-    drain_grace: Duration,
+    protocol: P,
+    terms: Terms,
+    places: RefCell<BTreeMap<ServerId, Place<P>>>,
+    sockets: Rc<Sockets>,
 }
 
-impl Pool {
-    pub fn start(clock: Clock, config: &Config) -> Rc<Self> {
-        let (site, settings) = (&config.site, &config.site.settings);
-        let pool = Rc::new(Pool {
-            clock,
-            places: RefCell::default(),
-            open: Rc::default(),
-            most_open: config.backend_connections,
-            // A request written just when the backend closes the connection would end as a reset.
-            idle_limit: site.idle_close * 3 / 4,
-            connect_timeout: settings.limits.connect_timeout,
-            drain_grace: settings.rules.drain_grace,
-        });
-        let (sweeper, pause) = (pool.clone(), (pool.idle_limit / 8).max(Duration::from_millis(5)));
+impl<P: Protocol> Pool<P> {
+    pub fn start(clock: Clock, protocol: P, terms: Terms, sockets: Rc<Sockets>) -> Rc<Self> {
+        let pool = Rc::new(Pool { clock, protocol, terms, places: RefCell::default(), sockets });
+        let (sweeper, pause) = (pool.clone(), (pool.terms.idle_limit / 8).max(Duration::from_millis(5)));
         spawn_local(async move {
             loop {
-                tokio::time::sleep(pause).await;
+                sleep(pause).await;
                 sweeper.sweep();
             }
         });
@@ -118,14 +148,15 @@
         let now = self.clock.now();
         for place in self.places.borrow_mut().values_mut() {
             place.idle.retain(|(connection, since)| {
-                !connection.sender.is_closed() && now.saturating_sub(*since) < self.idle_limit
+                !P::is_closed(&connection.carrier) && now.saturating_sub(*since) < self.terms.idle_limit
             });
         }
         drop_gone(&mut self.places.borrow_mut());
     }
 
     /// Takes in news of the list: addresses, and when a backend was told to drain or to be gone.
-    pub fn update(&self, kind: ListKind, backends: &[Backend], now: Duration) {
+    pub fn update(&self, news: &News, now: Duration) {
+        let News { kind, backends } = news;
         let mut places = self.places.borrow_mut();
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let listed: std::collections::BTreeSet<_> = backends.iter().map(|b| b.entry.id).collect();
@@ -160,13 +191,13 @@
 
     /// Takes the most recently used idle connection, or whichever comes first: one that falls free or a
     /// new one.
-    pub async fn take(self: &Rc<Self>, server: ServerId) -> Delivery {
+    pub async fn take(self: &Rc<Self>, server: ServerId) -> Delivery<P> {
         let deliver = {
             let mut places = self.places.borrow_mut();
             let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
             let now = self.clock.now();
             while let Some((connection, since)) = place.idle.pop() {
-                if connection.is_usable() && now.saturating_sub(since) < self.idle_limit {
+                if connection.is_usable() && now.saturating_sub(since) < self.terms.idle_limit {
                     return Ok(connection);
                 }
             }
@@ -175,11 +206,11 @@
                 let address = place.address.ok_or(Outcome::NotSent)?;
                 let epoch = place.epoch;
                 drop(places);
-                if self.open.get() >= self.most_open && !self.close_longest_idle() {
+                if self.sockets.open.get() >= self.sockets.most && !self.close_longest_idle() {
                     log_peer("no connection is left for an attempt: it was not sent");
                     return Err(Outcome::NotSent);
                 }
-                self.open.set(self.open.get() + 1);
+                self.sockets.open.set(self.sockets.open.get() + 1);
                 places = self.places.borrow_mut();
                 let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
                 place.dialling += 1;
@@ -205,12 +236,12 @@
     }
 
     /// Opens a connection; its place among the open ones is taken already.
-    async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery {
-        let connected = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+    async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery<P> {
+        let connected = timeout(self.terms.connect_timeout, TcpStream::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
-                let (socket, handle) = Socket::new(stream);
-                let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(socket).await;
+                let (stream, handle) = Stream::new(stream);
+                let opened = self.protocol.open(stream).await;
                 opened.map(|opened| (opened, handle)).map_err(|_| Outcome::ConnectFailed)
             }
             // This node's own want of descriptors or ports says nothing of the backend.
@@ -221,21 +252,18 @@
             }
             Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
         };
-        let ((sender, connection), socket) = match opened {
-            Ok(opened) => opened,
+        match opened {
+            Ok((carrier, socket)) => {
+                Ok(Connection { server, epoch, carrier, socket, sockets: self.sockets.clone() })
+            }
             Err(outcome) => {
-                self.open.set(self.open.get() - 1);
-                return Err(outcome);
+                self.sockets.open.set(self.sockets.open.get() - 1);
+                Err(outcome)
             }
-        };
-        let task = spawn_local(async move {
-            let _ = connection.await; // its end shows in the request on it
-        });
-        let (task, open) = (task.abort_handle(), self.open.clone());
-        Ok(Connection { server, epoch, sender, socket, task, open })
+        }
     }
 
-    fn dialled(&self, server: ServerId, dialled: Delivery) {
+    fn dialled(&self, server: ServerId, dialled: Delivery<P>) {
         if let Some(place) = self.places.borrow_mut().get_mut(&server) {
             place.dialling -= 1;
         }
@@ -258,7 +286,7 @@
 
     /// Gives a free connection to whoever has waited longest, or keeps it: a dial that came too late serves
     /// the next request.
-    pub fn put(&self, mut connection: Connection) {
+    pub fn put(&self, mut connection: Connection<P>) {
         let mut places = self.places.borrow_mut();
         let Some(place) = places.get_mut(&connection.server) else { return };
         if !connection.is_usable() || connection.epoch != place.epoch {
@@ -277,19 +305,19 @@
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         let places = self.places.borrow();
         let place = places.get(&server)?;
-        let drained = place.told.is_some_and(|told| self.clock.now() >= told + self.drain_grace);
+        let drained = place.told.is_some_and(|told| self.clock.now() >= told + self.terms.drain_grace);
         place.address.filter(|_| !drained)
     }
 }
 
 /// An attempt that waits for a connection. One that was delivered but not fetched goes back to the pool: it
 /// has cost its backend a handshake.
-struct Waiter<'a> {
-    pool: &'a Pool,
-    deliver: oneshot::Receiver<Delivery>,
+struct Waiter<'a, P: Protocol> {
+    pool: &'a Pool<P>,
+    deliver: oneshot::Receiver<Delivery<P>>,
 }
 
-impl Drop for Waiter<'_> {
+impl<P: Protocol> Drop for Waiter<'_, P> {
     fn drop(&mut self) {
         self.deliver.close();
         if let Ok(Ok(connection)) = self.deliver.try_recv() {
@@ -299,40 +327,57 @@
 }
 
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
     use hillpick::ServerEntry;
-    use tokio::net::TcpListener;
-    use tokio::task::LocalSet;
+    use sillward_seam::net::TcpListener;
+    use sillward_seam::task::{block_on, yield_now};
+
+    const SERVER: ServerId = ServerId(1);
 
-    pub const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-        "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}],
-        "Rules": {"DrainGrace": 0}}}"#;
-    pub const SERVER: ServerId = ServerId(1);
+    /// Carries nothing, and tells connections apart by their number.
+    #[derive(Default)]
+    struct Numbered(Cell<usize>);
+
+    impl Protocol for Numbered {
+        type Carrier = (usize, Stream);
+
+        async fn open(&self, stream: Stream) -> io::Result<Self::Carrier> {
+            self.0.set(self.0.get() + 1);
+            Ok((self.0.get(), stream))
+        }
+
+        fn is_closed(_: &Self::Carrier) -> bool {
+            false
+        }
+    }
 
     /// A pool that knows one backend, which listens.
-    pub fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, Backend) -> T) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
+    fn with_pool(test: impl AsyncFnOnce(Rc<Pool<Numbered>>, TcpListener)) {
+        block_on(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let pool = Pool::start(Clock::start(), &Config::parse(CONFIG).expect("good"));
+            let minute = Duration::from_secs(60);
+            let terms = Terms { idle_limit: minute, connect_timeout: minute, drain_grace: Duration::ZERO };
+            let pool = Pool::start(Clock::start(), Numbered::default(), terms, Sockets::new(10));
             let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
             let backend = Backend { entry, address: listener.local_addr().expect("its address") };
-            pool.update(ListKind::Full, std::slice::from_ref(&backend), pool.clock.now());
-            test(pool, listener, backend).await
+            let news = News { kind: ListKind::Full, backends: vec![backend] };
+            pool.update(&news, pool.clock.now());
+            test(pool, listener).await;
         })
+        .expect("a runtime");
     }
 
     /// How many connections to the backend are idle in the pool.
-    fn idle(pool: &Pool) -> usize {
+    fn idle(pool: &Pool<Numbered>) -> usize {
         pool.places.borrow().get(&SERVER).map_or(0, |place| place.idle.len())
     }
 
     #[test]
     fn who_waits_for_a_dial_takes_what_falls_free_and_the_late_dial_is_kept() {
-        with_pool(async |pool, _listener, _| {
+        with_pool(async |pool, _listener| {
             let first = pool.take(SERVER).await.expect("a connection");
-            let freed = first.task.id();
+            let freed = first.carrier.0;
             let mut second = std::pin::pin!(pool.take(SERVER));
             tokio::select! {
                 biased;
@@ -340,13 +385,13 @@
                 () = std::future::ready(()) => pool.put(first),
             }
             let taken = second.await.expect("a connection");
-            assert_eq!(taken.task.id(), freed);
+            assert_eq!(taken.carrier.0, freed);
             while idle(&pool) == 0 {
-                tokio::task::yield_now().await;
+                yield_now().await;
             }
             let late = pool.take(SERVER).await.expect("a connection");
-            assert_ne!(late.task.id(), freed);
-            assert_eq!(pool.open.get(), 2, "nothing further was dialled");
+            assert_ne!(late.carrier.0, freed);
+            assert_eq!(pool.sockets.open.get(), 2, "nothing further was dialled");
         });
     }
 
@@ -354,26 +399,26 @@
     #[test]
     fn a_connection_is_not_used_again_once_something_came_behind_its_answer() {
         use std::io::Write;
-        with_pool(async |pool, listener, _| {
+        with_pool(async |pool, listener| {
             let first = pool.take(SERVER).await.expect("a connection");
             let (stream, _) = listener.accept().await.expect("the dial");
             let mut backend = stream.into_std().expect("its stream");
-            let used = first.task.id();
+            let used = first.carrier.0;
             // Hyper has its first turn before, and would see nothing.
-            tokio::task::yield_now().await;
+            yield_now().await;
             pool.put(first);
             assert_eq!(idle(&pool), 1);
             backend.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("a node");
             let next = pool.take(SERVER).await.expect("a connection");
-            assert_ne!(next.task.id(), used);
+            assert_ne!(next.carrier.0, used);
         });
     }
 
     #[test]
     fn a_connection_delivered_to_who_has_left_goes_back_to_the_pool() {
-        with_pool(async |pool, _listener, _| {
+        with_pool(async |pool, _listener| {
             let first = pool.take(SERVER).await.expect("a connection");
-            let freed = first.task.id();
+            let freed = first.carrier.0;
             let mut second = Box::pin(pool.take(SERVER));
             tokio::select! {
                 biased;
@@ -383,7 +428,7 @@
             assert_eq!(idle(&pool), 0);
             drop(second);
             assert_eq!(idle(&pool), 1);
-            assert_eq!(pool.take(SERVER).await.ok().map(|back| back.task.id()), Some(freed));
+            assert_eq!(pool.take(SERVER).await.ok().map(|back| back.carrier.0), Some(freed));
         });
     }
 }
--- a/src/bin/sillward/discovery.rs
+++ b/crates/roster/src/lib.rs
@@ -1,8 +1,6 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
+#![forbid(unsafe_code)]
 
-use crate::config::Config;
-use crate::log::log;
-use crate::node::Message;
 use bytes::{Bytes, BytesMut};
 use hillpick::settings::{Site, millis};
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
@@ -12,18 +10,19 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use rand_pcg::Pcg32;
-use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::Deserialize;
 use serde_json::Value;
+use sillward_core::{Backend, Message, News, Order};
+use sillward_log::log;
+use sillward_seam::net::TcpStream;
+use sillward_seam::random::Random;
+use sillward_seam::task::{JoinHandle, spawn_local};
+use sillward_seam::time::{Instant, sleep, timeout};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
 
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
@@ -35,25 +34,6 @@
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
-/// A line of the list, and where that backend listens.
-#[derive(Clone, Debug)]
-pub struct Backend {
-    pub entry: ServerEntry,
-    pub address: SocketAddr,
-}
-
-/// News of the list.
-pub struct News {
-    pub kind: ListKind,
-    pub backends: Vec<Backend>,
-}
-
-/// What the module asks of discovery, where the list must be asked for.
-pub enum Order {
-    Subscribe(bool),
-    Fetch,
-}
-
 #[derive(Deserialize)]
 struct List {
     #[serde(default)]
@@ -97,20 +77,27 @@
     site: Site,
     messages: mpsc::Sender<Message>,
     known: Option<String>,
-    random: Pcg32,
+    random: Random,
     ready: Rc<Cell<bool>>,
     /// The version of the list that the node has.
     index: u64,
 }
 
 impl Discovery {
-    pub fn new(config: &Config, messages: mpsc::Sender<Message>) -> Self {
+    /// `known` is discovery's JSON as this node last had it, perhaps old.
+    pub fn new(
+        address: SocketAddr,
+        site: Site,
+        known: Option<String>,
+        seed: u64,
+        messages: mpsc::Sender<Message>,
+    ) -> Self {
         Discovery {
-            address: config.discovery,
-            site: config.site.clone(),
+            address,
+            site,
             messages,
-            known: config.known.clone(),
-            random: Pcg32::seed_from_u64(!config.seed),
+            known,
+            random: Random::seeded(!seed),
             ready: Rc::default(),
             index: 0,
         }
@@ -216,7 +203,7 @@
 
     /// Between half and all of it, so that nodes whose watches broke together do not call together.
     fn jittered(&mut self, pause: Duration) -> Duration {
-        pause.mul_f64(0.5 + f64::from(self.random.next_u32()) / 2f64.powi(33))
+        pause.mul_f64(0.5 + self.random.fraction() / 2.0)
     }
 
     async fn fetch(&mut self) -> Result<(), String> {
--- /dev/null
+++ b/crates/seam/src/lib.rs
@@ -0,0 +1,66 @@
+//! The seam to the world outside: time, sockets, signals and random numbers come to every other package
+//! through here and from nowhere else, so that a virtual clock and a simulated network can be put beneath.
+//! `tests/seam.rs` of the root package fails when code reaches past it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clock;
+mod stream;
+
+pub use clock::Clock;
+pub use stream::{Handle, Stream};
+
+/// Monotonic time, and waiting for it.
+pub mod time {
+    pub use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+}
+
+/// TCP.
+pub mod net {
+    pub use tokio::net::{TcpListener, TcpStream};
+}
+
+/// Signals that the process is sent.
+pub mod signal {
+    pub use tokio::signal::unix::{Signal, SignalKind, signal};
+}
+
+/// Random numbers, from a seed and the same on every machine.
+pub mod random {
+    use rand_pcg::Pcg32;
+    use rand_pcg::rand_core::{RngCore, SeedableRng};
+
+    /// A generator. Not for secrets.
+    pub struct Random(Pcg32);
+
+    impl Random {
+        /// A generator whose numbers follow from `seed` alone.
+        pub fn seeded(seed: u64) -> Self {
+            Random(Pcg32::seed_from_u64(seed))
+        }
+
+        /// The next number, over the whole range.
+        pub fn number(&mut self) -> u32 {
+            self.0.next_u32()
+        }
+
+        /// The next fraction: 0 or more, less than 1.
+        pub fn fraction(&mut self) -> f64 {
+            f64::from(self.0.next_u32()) / 2f64.powi(32)
+        }
+    }
+}
+
+/// Tasks of the one thread that all run on.
+pub mod task {
+    pub use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local, yield_now};
+
+    /// Runs `main` and the tasks it starts to its end.
+    ///
+    /// # Errors
+    /// The runtime could not be started.
+    pub fn block_on<T>(main: impl Future<Output = T>) -> std::io::Result<T> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        Ok(LocalSet::new().block_on(&runtime, main))
+    }
+}
--- a/src/bin/sillward/socket.rs
+++ b/crates/seam/src/stream.rs
@@ -1,21 +1,16 @@
-//! A TCP stream for hyper, and a handle by which whoever keeps the connection can still look at it.
+//! A TCP stream, and a handle by which whoever keeps the connection can still look at it.
 
-use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// The most that one read takes in.
-const CHUNK: usize = 8 * 1024;
-
-/// The stream, for hyper.
-pub struct Socket(Rc<Shared>);
+/// The stream.
+pub struct Stream(Rc<Shared>);
 
 /// Looks at the stream, but does not keep it open.
 #[derive(Clone)]
@@ -27,20 +22,13 @@
     heard: Cell<Option<Instant>>,
 }
 
-impl Socket {
-    pub fn new(stream: TcpStream) -> (Self, Handle) {
-        let _ = stream.set_nodelay(true);
-        let shared = Rc::new(Shared { stream, heard: Cell::default() });
-        let handle = Handle(Rc::downgrade(&shared));
-        (Socket(shared), handle)
-    }
-}
-
 impl Handle {
+    /// When the first bytes came since [`Handle::listen_anew`]; `None` if none did or the stream is closed.
     pub fn heard(&self) -> Option<Instant> {
         self.0.upgrade()?.heard.get()
     }
 
+    /// Forgets when bytes came.
     pub fn listen_anew(&self) {
         if let Some(shared) = self.0.upgrade() {
             shared.heard.set(None);
@@ -56,69 +44,70 @@
     }
 }
 
-impl Read for Socket {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut to: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; CHUNK];
-        let most = to.remaining().min(CHUNK);
+impl Stream {
+    /// Takes a stream over, and sends what is written to it without delay.
+    pub fn new(stream: TcpStream) -> (Self, Handle) {
+        let _ = stream.set_nodelay(true);
+        let shared = Rc::new(Shared { stream, heard: Cell::default() });
+        let handle = Handle(Rc::downgrade(&shared));
+        (Stream(shared), handle)
+    }
+
+    /// Reads what is there, at most `to`'s length; 0 at the end of the stream.
+    ///
+    /// # Errors
+    /// The connection is broken.
+    pub fn poll_read(&self, cx: &mut Context<'_>, to: &mut [u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(&mut chunk[..most]) {
+            match self.0.stream.try_read(to) {
                 Ok(count) => {
                     if self.0.heard.get().is_none() && count > 0 {
                         self.0.heard.set(Some(Instant::now()));
                     }
-                    to.put_slice(&chunk[..count]);
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(Ok(count));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
     }
-}
 
-impl Socket {
-    fn poll_try_write(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
+    /// Hands the kernel as many of these bytes as it takes, and says how many.
+    ///
+    /// # Errors
+    /// The connection is broken; none of these bytes were taken.
+    pub fn poll_write(&self, cx: &mut Context<'_>, from: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
+            match self.0.stream.try_write_vectored(from) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
         }
     }
-}
-
-impl Write for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write(from))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        from: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write_vectored(from))
-    }
 
-    fn is_write_vectored(&self) -> bool {
-        true
+    /// Says to the peer that nothing more will come.
+    ///
+    /// # Errors
+    /// The connection is closed already.
+    pub fn shut_write(&self) -> io::Result<()> {
+        SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    /// As [`Stream::poll_read`].
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn read(&self, to: &mut [u8]) -> io::Result<usize> {
+        std::future::poll_fn(|cx| self.poll_read(cx, to)).await
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    /// As [`Stream::poll_write`], of one piece.
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn write(&self, from: &[u8]) -> io::Result<usize> {
+        std::future::poll_fn(|cx| self.poll_write(cx, &[io::IoSlice::new(from)])).await
     }
 }
--- a/src/bin/sillward/main.rs
+++ b/src/main.rs
@@ -2,63 +2,29 @@
 //! This file reads the configuration, starts the parts and sees to signals.
 #![forbid(unsafe_code)]
 
-mod backend;
-mod config;
-mod discovery;
-mod front;
-mod log;
-mod memory;
-mod node;
-mod pool;
-mod request;
-mod socket;
-
-use config::Config;
-use log::log;
+use sillward_config::Config;
+use sillward_core::{Budget, Intake, Node, Reports};
+use sillward_log::log;
+use sillward_pool::{Pool, Sockets, Terms};
+use sillward_roster::Discovery;
+use sillward_seam::Clock;
+use sillward_seam::net::TcpListener;
+use sillward_seam::signal::{Signal, SignalKind, signal};
+use sillward_seam::task::{block_on, spawn_local};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
-use tokio::time::Instant;
 
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
 
-/// The one clock: Unix time as it was at the start, carried on by the monotonic clock, so that a backend's
-/// `since_ms` and the times of events are on one scale that never runs backwards.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    started: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix }
-    }
-
-    pub fn now(self) -> Duration {
-        self.unix + self.started.elapsed()
-    }
-
-    pub fn instant(self, at: Duration) -> Instant {
-        self.started + at.saturating_sub(self.unix)
-    }
-}
-
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("cannot start: {e}"));
-    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
+    let ended = block_on(run()).map_err(|e| format!("cannot start: {e}")).and_then(|ended| ended);
     if let Err(what) = &ended {
         log(what);
     }
-    log::flush();
+    sillward_log::flush();
     if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
@@ -75,15 +41,26 @@
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
-    let budget = memory::Budget::new(config.body_bytes);
-    let backends = backend::Backends::new(clock, &config, budget.clone(), pool::Pool::start(clock, &config));
-    let discovery = discovery::Discovery::new(&config, messages.clone());
+    let (site, settings) = (&config.site, &config.site.settings);
+    let budget = Budget::new(config.body_bytes);
+    let terms = Terms {
+        // A request written just when the backend closes the connection would end as a reset.
+        idle_limit: site.idle_close * 3 / 4,
+        connect_timeout: settings.limits.connect_timeout,
+        drain_grace: settings.rules.drain_grace,
+    };
+    let pool = Pool::start(clock, sillward_http1::Http1, terms, Sockets::new(config.backend_connections));
+    let reports = Reports::new(site.columns.clone(), settings.reports);
+    let backends = sillward_http1::Backend::new(pool, budget.clone(), reports);
+    let known = config.known.clone();
+    let discovery = Discovery::new(config.discovery, site.clone(), known, config.seed, messages.clone());
     let ready = discovery.ready();
-    let node = node::Node::new(clock, &config, backends, messages.clone(), orders);
-    let front = front::Front::new(clock, &config, budget, messages, ready);
-    let mut node = tokio::task::spawn_local(node.run(inbox));
-    let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders, moved));
-    tokio::task::spawn_local(reload(hang_up, config.clone(), moves));
+    let node = Node::new(clock, settings.clone(), config.seed, backends, messages.clone(), orders);
+    let intake = Intake::new(clock, messages);
+    let front = sillward_http1::Front::new(intake, site.clone(), config.client_connections, budget, ready);
+    let mut node = spawn_local(node.run(inbox));
+    let mut discovery = spawn_local(discovery.run(discovery_orders, moved));
+    spawn_local(reload(hang_up, config.clone(), moves));
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {address}", config.name));
 
