--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -77,14 +77,10 @@
             Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
         }, None, None),
     };
-    if !attempt.call.answered {
-        if outcome.never_ran() {
-            attempt.call.out.set(0);
-        } else {
-            // Nobody waits for what it comes to, and it may have run: that is its one attempt.
-            outcome = Outcome::Served;
-            answer = Some(answer.unwrap_or(Content::plain(bytes::Bytes::new())));
-        }
+    if !attempt.call.answered && !outcome.never_ran() {
+        // Nobody waits for what it comes to, and it may have run: that is its one attempt.
+        outcome = Outcome::Served;
+        answer = Some(answer.unwrap_or(Content::plain(bytes::Bytes::new())));
     }
     Ended { id: attempt.id, number: attempt.number, outcome, report, answer }
 }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,7 +74,7 @@
     pub first_byte: Cell<Option<Duration>>,
     /// It has its final answer, or its client has left: nothing more is sent for it.
     pub over: Cell<bool>,
-    /// Attempts that are out or may have run, where nobody waits for an answer.
+    /// Attempts that are out or may have run.
     pub out: Cell<u32>,
 }
 
@@ -93,4 +94,18 @@
         self.out.set(self.out.get() + 1);
         true
     }
+
+    /// Takes a claim back: the attempt is known never to have run.
+    pub fn unclaim(&self) {
+        self.out.set(self.out.get().saturating_sub(1));
+    }
+}
+
+/// What a request is about, as the module's number: the same text gives the same number at every node.
+pub fn key_number(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
+        let mut hasher = DefaultHasher::new();
+        text.hash(&mut hasher);
+        hasher.finish()
+    })
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,7 @@
 mod report;
 
 pub use attempt::{Attempt, Backends, Ended, Exchanged, ProbeEnded, Stop, Task, run};
-pub use call::{Answer, Call, Content, Form, Judge};
+pub use call::{Answer, Call, Content, Form, Judge, key_number};
 pub use dispatch::Dispatch;
 pub use intake::{Intake, Taken};
 pub use memory::{Budget, Lease};
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -27,6 +27,17 @@
 }
 
 impl Lease {
+    /// Takes so many bytes more, if there is that much room; otherwise nothing changes.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        match self.budget.lease(bytes) {
+            Some(mut more) => {
+                self.bytes += std::mem::take(&mut more.bytes);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// These bytes, which keep their room for as long as a copy of them lives.
     pub fn keep(self, bytes: Bytes) -> Bytes {
         struct Kept(Bytes, #[expect(dead_code, reason = "its drop gives the room back")] Lease);
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -126,11 +126,17 @@
                         ));
                         outcome = Outcome::Error;
                     }
+                    if outcome.never_ran() {
+                        attempt.call.unclaim();
+                    }
                     return (outcome, report, answer);
                 }
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
-                    Some(_) => written.set(false),
+                    Some(_) => {
+                        attempt.call.unclaim();
+                        written.set(false);
+                    }
                     None => return (broken(e.error()), None, None),
                 },
             }
@@ -144,6 +150,13 @@
         let (now, call) = (self.pool.clock.now(), &attempt.call);
         let address = self.pool.address(attempt.server)?;
         let value = |bytes: &Bytes| HeaderValue::from_maybe_shared(bytes.clone()).ok();
+        let plain = call.content.form == Form::PLAIN;
+        // Backends of two protocols know a repeat only by the very same key: what a header would alter, or a key
+        // that is no header, does not go this way.
+        let whole = |key: &Bytes| !key.is_empty() && key.iter().all(|byte| (b'!'..=b'~').contains(byte));
+        if !plain && call.window.is_some() && !call.idempotency_key.as_ref().is_some_and(whole) {
+            return None;
+        }
         let target = PathAndQuery::from_maybe_shared(call.target.clone()).ok()?;
         let call_id = value(&call.call_id)?;
         let key = match &call.idempotency_key {
@@ -155,7 +168,6 @@
         }
         let left = (attempt.until - now).as_millis().max(1) as u64;
         let mut request = Request::new(Full::new(call.content.bytes.clone()));
-        let plain = call.content.form == Form::PLAIN;
         *request.method_mut() = if call.safe && plain { Method::GET } else { Method::POST };
         *request.uri_mut() = target.into();
         let headers = request.headers_mut();
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -12,262 +12,39 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, READ_BUFFER};
-use sillward_log::{log, log_peer};
-use sillward_seam::net::{TcpListener, TcpStream};
+use sillward_listener::{Client, Door, LINGER, Serve};
+use sillward_log::log_peer;
+use sillward_seam::Stream;
 use sillward_seam::task::spawn_local;
-use sillward_seam::time::{Instant, sleep, timeout};
-use sillward_seam::{Handle, Stream};
+use sillward_seam::time::Instant;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 
-/// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
-const ACCEPT_ON: Duration = Duration::from_millis(450);
-/// Then what was accepted last has so long to send its request before idle connections are closed.
-const LAST_WORDS: Duration = Duration::from_millis(100);
-/// How long a client may take from its connection, or from the first byte of a later request, to the last byte
-/// of a request: who takes longer waits for no answer. Whoever is bad is rid of in 3 s, watch and all.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// A connection on which no request is open is kept for so long: its client may ask again.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// A connection that was told to close, and has no request open, is closed from here after that.
-const LINGER: Duration = Duration::from_secs(1);
-/// How often connections are looked over for these times.
-const WATCH: Duration = Duration::from_millis(100);
 /// How much of a body is read on after its request was turned down.
 const READ_PAST: usize = 16 * BODY_LIMIT;
-/// After an accept that failed for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
-/// Where a client's connection stands.
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// Nothing is open, since then.
-    Idle(Instant),
-    /// A request's head has come: its body, or the node, is at work.
-    Open,
-    /// Told to close, at that time.
-    Closing(Instant),
-}
-
-struct Client {
-    socket: Handle,
-    accepted: Instant,
-    /// Whether it has ever sent a head that could be read.
-    asked: Cell<bool>,
-    stage: Cell<Stage>,
-    /// Asks hyper to end the connection when it can.
-    close: Notify,
-    /// Ends it at once.
-    end: Notify,
-}
-
-impl Client {
-    fn close(&self) {
-        self.stage.set(Stage::Closing(Instant::now()));
-        self.close.notify_one();
-    }
-
-    /// Ends or closes it if its time is up. A request whose rest has come, and only waits to be read since this
-    /// node was held up itself, is owed its answer: bytes that wait to be read are a reason to wait.
-    fn look(&self, now: Instant) {
-        let begun = if self.asked.get() { self.socket.heard() } else { Some(self.accepted) };
-        let late = begun.is_some_and(|begun| now > begun + READ_TIMEOUT);
-        match self.stage.get() {
-            Stage::Closing(since) if now > since + LINGER => self.end.notify_one(),
-            Stage::Idle(_) if late && self.socket.is_quiet() => self.end.notify_one(),
-            Stage::Idle(since) if !late && now > since + IDLE_TIMEOUT => self.close(),
-            _ => {}
-        }
-    }
-
-    /// If no request is open or begun: whether it has ever asked, and since when it has been idle. In this order
-    /// they make room: a crowd of the silent takes no place from those that are served.
-    fn idle(&self) -> Option<(bool, Instant)> {
-        match self.stage.get() {
-            Stage::Idle(since) if self.socket.heard().is_none() => Some((self.asked.get(), since)),
-            _ => None,
-        }
-    }
-}
-
 pub struct Front {
     site: Site,
     intake: Intake,
     ready: Rc<Cell<bool>>,
-    closing: Cell<bool>,
-    /// The last number that a connection was given.
-    numbers: Cell<u64>,
-    longest_deadline: Duration,
-    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
-    most_clients: usize,
+    door: Rc<Door>,
     /// Room for bodies, requests' and answers'.
     budget: Budget,
     /// The X-Call-Ids of the requests that have no answer yet.
     open: RefCell<HashSet<HeaderValue>>,
-    /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
-    /// it may hold a request.
-    waiting: RefCell<Option<TcpStream>>,
-    left: Notify,
 }
 
 impl Front {
     pub fn new(
         intake: Intake,
         site: Site,
-        most_clients: usize,
+        door: Rc<Door>,
         budget: Budget,
         ready: Rc<Cell<bool>>,
     ) -> Rc<Self> {
-        let longest_deadline = site.settings.classes.iter().map(|class| class.deadline).max();
-        Rc::new(Front {
-            intake,
-            site,
-            ready,
-            closing: Cell::new(false),
-            numbers: Cell::new(0),
-            longest_deadline: longest_deadline.unwrap_or_default(),
-            clients: RefCell::default(),
-            most_clients,
-            budget,
-            open: RefCell::default(),
-            waiting: RefCell::default(),
-            left: Notify::new(),
-        })
-    }
-
-    /// Serves clients until `stop`, then ends in good order.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let watched = self.clone();
-        spawn_local(async move {
-            loop {
-                sleep(WATCH).await;
-                let now = Instant::now();
-                watched.clients.borrow().values().for_each(|client| client.look(now));
-            }
-        });
-        tokio::select! {
-            () = self.accept(&listener) => {}
-            () = stop => {}
-        }
-        log("told to stop: unready, finishing what is held");
-        self.closing.set(true);
-        let _ = timeout(ACCEPT_ON, self.accept(&listener)).await;
-        self.serve_waiting();
-        // A connection that waits in the queue may hold a request already: closing the listener would reset it.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.serve(stream);
-        }
-        drop(listener);
-        sleep(LAST_WORDS).await;
-        self.clients.borrow().values().for_each(|client| client.close.notify_one());
-        let all_left = async {
-            while !self.clients.borrow().is_empty() {
-                self.left.notified().await;
-            }
-        };
-        // Every request has its answer by its deadline; who is left then has sent half a request at most.
-        if timeout(self.longest_deadline, all_left).await.is_err() {
-            log("a client would not end its connection");
-        }
-    }
-
-    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        loop {
-            if self.waiting.borrow().is_none() {
-                match listener.accept().await {
-                    Ok((stream, _)) => drop(self.waiting.borrow_mut().replace(stream)),
-                    Err(e) => {
-                        // Out of descriptors, or the client has left already: neither is a reason to end.
-                        log_peer(format_args!("cannot accept: {e}"));
-                        self.make_room();
-                        sleep(ACCEPT_PAUSE).await;
-                    }
-                }
-            }
-            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients {
-                self.make_room();
-                let _ = timeout(ACCEPT_PAUSE, self.left.notified()).await;
-            }
-            self.serve_waiting();
-        }
-    }
-
-    fn serve_waiting(self: &Rc<Self>) {
-        let waiting = self.waiting.borrow_mut().take();
-        waiting.into_iter().for_each(|stream| self.serve(stream));
-    }
-
-    /// Between requests a node may close a connection: the first that has nothing to say.
-    fn make_room(&self) {
-        let (clients, now) = (self.clients.borrow(), Instant::now());
-        let closing = clients.values().filter_map(|client| match client.stage.get() {
-            Stage::Closing(since) => Some((since, client)),
-            _ => None,
-        });
-        match closing.min_by_key(|(since, _)| *since) {
-            // It will leave by itself in a moment, or it has had its moment.
-            Some((since, client)) if now > since + ACCEPT_PAUSE => return client.end.notify_one(),
-            Some(_) => return,
-            None => {}
-        }
-        let mut idle: Vec<_> =
-            clients.values().filter_map(|client| client.idle().map(|order| (order, client))).collect();
-        idle.sort_unstable_by_key(|(order, _)| *order);
-        if let Some((_, client)) = idle.into_iter().find(|(_, client)| client.socket.is_quiet()) {
-            client.close();
-        }
-    }
-
-    fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let (stream, handle) = Stream::new(stream);
-        let now = Instant::now();
-        let client = Rc::new(Client {
-            socket: handle,
-            accepted: now,
-            asked: Cell::new(false),
-            stage: Cell::new(Stage::Idle(now)),
-            close: Notify::new(),
-            end: Notify::new(),
-        });
-        let number = self.next();
-        self.clients.borrow_mut().insert(number, client.clone());
-        let front = self.clone();
-        spawn_local(async move {
-            let service = service_fn(|request| front.clone().respond(&client, request));
-            let connection = http1::Builder::new()
-                // Its time-out would run on idle connections too: `Client::look` tells them apart.
-                .header_read_timeout(None)
-                .max_buf_size(READ_BUFFER)
-                .serve_connection(Socket(stream), service);
-            let mut connection = std::pin::pin!(connection);
-            let polite = async {
-                // Biased: a request that has come is read before the connection is told to close.
-                tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => {}
-                    () = client.close.notified() => {
-                        connection.as_mut().graceful_shutdown();
-                        let _ = connection.await;
-                    }
-                }
-            };
-            tokio::select! {
-                biased;
-                () = polite => {}
-                () = client.end.notified() => {}
-            }
-            front.clients.borrow_mut().remove(&number);
-            front.left.notify_one();
-        });
-    }
-
-    fn next(&self) -> u64 {
-        self.numbers.set(self.numbers.get() + 1);
-        self.numbers.get()
+        Rc::new(Front { site, intake, ready, door, budget, open: RefCell::default() })
     }
 
     async fn respond(
@@ -275,21 +52,13 @@
         client: &Client,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        // The first request's time runs from the accept, a later one's from its first byte.
-        let begun = if client.asked.replace(true) { client.socket.heard() } else { Some(client.accepted) };
-        let until = begun.unwrap_or_else(Instant::now) + READ_TIMEOUT;
-        client.stage.set(Stage::Open);
+        let until = client.opened();
         let (mut response, last) = match self.handle(request, until).await {
-            Ok(response) => (response, self.closing.get()),
+            Ok(response) => (response, self.door.is_closing()),
             // After what is malformed nobody can tell where the next request begins.
             Err((status, text)) => (plain(status, Bytes::from_static(text.as_bytes())), true),
         };
-        client.socket.listen_anew();
-        let now = Instant::now();
-        client.stage.set(if last { Stage::Closing(now) } else { Stage::Idle(now) });
-        if self.clients.borrow().len() >= self.most_clients {
-            self.left.notify_one(); // whoever waits to come in finds this one idle
-        }
+        self.door.done(client, last, false);
         if last {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -301,7 +70,7 @@
         let ready_asked = head.uri.path() == "/health/ready";
         let checked = match request::length(&head, &body) {
             Ok(_) if ready_asked => {
-                let ready = self.ready.get() && !self.closing.get();
+                let ready = self.ready.get() && !self.door.is_closing();
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 return Ok(plain(status, Bytes::new()));
             }
@@ -362,6 +131,27 @@
     }
 }
 
+impl Serve for Front {
+    async fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) {
+        let service = service_fn(|request| self.clone().respond(&client, request));
+        let connection = http1::Builder::new()
+            // Its time-out would run on idle connections too: the door tells them apart.
+            .header_read_timeout(None)
+            .max_buf_size(READ_BUFFER)
+            .serve_connection(Socket(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        // Biased: a request that has come is read before the connection is told to close.
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => {}
+            () = client.told_to_close() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+    }
+}
+
 /// An X-Call-Id that is open, until this is dropped.
 struct Open<'a> {
     all: &'a RefCell<HashSet<HeaderValue>>,
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -9,9 +9,8 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
-use sillward_core::{BODY_LIMIT, Lease};
+use sillward_core::{BODY_LIMIT, Lease, key_number};
 use sillward_seam::time::{Instant, timeout_at};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 const LONGEST_BUDGET_MS: u64 = 600_000;
@@ -137,12 +136,3 @@
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-/// What a request is about, as the module's number: the same text gives the same number at every node.
-fn key_number(text: &str) -> u64 {
-    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
-        let mut hasher = DefaultHasher::new();
-        text.hash(&mut hasher);
-        hasher.finish()
-    })
-}
--- /dev/null
+++ b/crates/listener/src/lib.rs
@@ -0,0 +1,267 @@
+//! Clients' connections: accepted, bounded in number, timed, and let go in good order. What is spoken on them is
+//! a front's concern ([`Serve`]).
+#![forbid(unsafe_code)]
+
+use sillward_log::{log, log_peer};
+use sillward_seam::net::{TcpListener, TcpStream};
+use sillward_seam::task::spawn_local;
+use sillward_seam::time::{Instant, sleep, timeout};
+use sillward_seam::{Handle, Stream};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
+const ACCEPT_ON: Duration = Duration::from_millis(450);
+/// Then what was accepted last has so long to send its request before idle connections are closed.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+/// How long a client may take from its connection, or from the first byte of a later request, to the last byte
+/// of a request: who takes longer waits for no answer. Whoever is bad is rid of in 3 s, watch and all.
+pub const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connection on which no request is open is kept for so long: its client may ask again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// A connection that was told to close, and has no request open, is closed from here after that.
+pub const LINGER: Duration = Duration::from_secs(1);
+/// How often connections are looked over for these times.
+const WATCH: Duration = Duration::from_millis(100);
+/// After an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Where a client's connection stands.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Nothing is open, since then.
+    Idle(Instant),
+    /// A request's head has come: its body, or the node, is at work.
+    Open,
+    /// Told to close, at that time.
+    Closing(Instant),
+}
+
+pub struct Client {
+    socket: Handle,
+    accepted: Instant,
+    /// Whether it has ever sent a head that could be read.
+    asked: Cell<bool>,
+    stage: Cell<Stage>,
+    /// Asks hyper to end the connection when it can.
+    close: Notify,
+    /// Ends it at once.
+    end: Notify,
+}
+
+impl Client {
+    /// A request has begun to come whole: its head, or all of it. Returns when its rest must be here: the first
+    /// request's time runs from the accept, a later one's from its first byte.
+    pub fn opened(&self) -> Instant {
+        let begun = if self.asked.replace(true) { self.socket.heard() } else { Some(self.accepted) };
+        self.stage.set(Stage::Open);
+        begun.unwrap_or_else(Instant::now) + READ_TIMEOUT
+    }
+
+    /// Whether nothing waits to be read.
+    pub fn is_quiet(&self) -> bool {
+        self.socket.is_quiet()
+    }
+
+    /// Waits until the connection is to end when it can. Returns once for each time that it is told.
+    pub async fn told_to_close(&self) {
+        self.close.notified().await;
+    }
+
+    fn close(&self) {
+        self.stage.set(Stage::Closing(Instant::now()));
+        self.close.notify_one();
+    }
+
+    /// Ends or closes it if its time is up. A request whose rest has come, and only waits to be read since this
+    /// node was held up itself, is owed its answer: bytes that wait to be read are a reason to wait.
+    fn look(&self, now: Instant) {
+        let begun = if self.asked.get() { self.socket.heard() } else { Some(self.accepted) };
+        let late = begun.is_some_and(|begun| now > begun + READ_TIMEOUT);
+        match self.stage.get() {
+            Stage::Closing(since) if now > since + LINGER => self.end.notify_one(),
+            Stage::Idle(_) if late && self.socket.is_quiet() => self.end.notify_one(),
+            Stage::Idle(since) if !late && now > since + IDLE_TIMEOUT => self.close(),
+            _ => {}
+        }
+    }
+
+    /// If no request is open or begun: whether it has ever asked, and since when it has been idle. In this order
+    /// they make room: a crowd of the silent takes no place from those that are served.
+    fn idle(&self) -> Option<(bool, Instant)> {
+        match self.stage.get() {
+            Stage::Idle(since) if self.socket.heard().is_none() => Some((self.asked.get(), since)),
+            _ => None,
+        }
+    }
+}
+
+/// A front: what is spoken on a connection.
+pub trait Serve: 'static {
+    /// Serves a client until its connection ends. Dropped, it closes at once.
+    fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) -> impl Future<Output = ()>;
+}
+
+/// Keeps the connections of one listener.
+pub struct Door {
+    closing: Cell<bool>,
+    /// The last number that a connection was given.
+    numbers: Cell<u64>,
+    longest_deadline: Duration,
+    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    most_clients: usize,
+    /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
+    /// it may hold a request.
+    waiting: RefCell<Option<TcpStream>>,
+    left: Notify,
+}
+
+impl Door {
+    /// For so many clients at once, whose requests are answered within `longest_deadline`.
+    pub fn new(most_clients: usize, longest_deadline: Duration) -> Rc<Self> {
+        Rc::new(Door {
+            closing: Cell::new(false),
+            numbers: Cell::new(0),
+            longest_deadline,
+            clients: RefCell::default(),
+            most_clients,
+            waiting: RefCell::default(),
+            left: Notify::new(),
+        })
+    }
+
+    /// Whether the node has been told to stop.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// A client has no request open any more. `last` if its connection ends with that; `within` if it has begun
+    /// another request already.
+    pub fn done(&self, client: &Client, last: bool, within: bool) {
+        if !within {
+            client.socket.listen_anew();
+        }
+        let now = Instant::now();
+        client.stage.set(if last { Stage::Closing(now) } else { Stage::Idle(now) });
+        if self.clients.borrow().len() >= self.most_clients {
+            self.left.notify_one(); // whoever waits to come in finds this one idle
+        }
+    }
+
+    /// Serves clients until `stop`, then ends in good order.
+    pub async fn run<S: Serve>(
+        self: Rc<Self>,
+        front: Rc<S>,
+        listener: TcpListener,
+        stop: impl Future<Output = ()>,
+    ) {
+        let watched = self.clone();
+        spawn_local(async move {
+            loop {
+                sleep(WATCH).await;
+                let now = Instant::now();
+                watched.clients.borrow().values().for_each(|client| client.look(now));
+            }
+        });
+        tokio::select! {
+            () = self.accept(&front, &listener) => {}
+            () = stop => {}
+        }
+        log("told to stop: unready, finishing what is held");
+        self.closing.set(true);
+        let _ = timeout(ACCEPT_ON, self.accept(&front, &listener)).await;
+        self.serve_waiting(&front);
+        // A connection that waits in the queue may hold a request already: closing the listener would reset it.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            self.serve(&front, stream);
+        }
+        drop(listener);
+        sleep(LAST_WORDS).await;
+        self.clients.borrow().values().for_each(|client| client.close.notify_one());
+        let all_left = async {
+            while !self.clients.borrow().is_empty() {
+                self.left.notified().await;
+            }
+        };
+        // Every request has its answer by its deadline; who is left then has sent half a request at most.
+        if timeout(self.longest_deadline, all_left).await.is_err() {
+            log("a client would not end its connection");
+        }
+    }
+
+    async fn accept<S: Serve>(self: &Rc<Self>, front: &Rc<S>, listener: &TcpListener) {
+        loop {
+            if self.waiting.borrow().is_none() {
+                match listener.accept().await {
+                    Ok((stream, _)) => drop(self.waiting.borrow_mut().replace(stream)),
+                    Err(e) => {
+                        // Out of descriptors, or the client has left already: neither is a reason to end.
+                        log_peer(format_args!("cannot accept: {e}"));
+                        self.make_room();
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+            }
+            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients {
+                self.make_room();
+                let _ = timeout(ACCEPT_PAUSE, self.left.notified()).await;
+            }
+            self.serve_waiting(front);
+        }
+    }
+
+    fn serve_waiting<S: Serve>(self: &Rc<Self>, front: &Rc<S>) {
+        let waiting = self.waiting.borrow_mut().take();
+        waiting.into_iter().for_each(|stream| self.serve(front, stream));
+    }
+
+    /// Between requests a node may close a connection: the first that has nothing to say.
+    fn make_room(&self) {
+        let (clients, now) = (self.clients.borrow(), Instant::now());
+        let closing = clients.values().filter_map(|client| match client.stage.get() {
+            Stage::Closing(since) => Some((since, client)),
+            _ => None,
+        });
+        match closing.min_by_key(|(since, _)| *since) {
+            // It will leave by itself in a moment, or it has had its moment.
+            Some((since, client)) if now > since + ACCEPT_PAUSE => return client.end.notify_one(),
+            Some(_) => return,
+            None => {}
+        }
+        let mut idle: Vec<_> =
+            clients.values().filter_map(|client| client.idle().map(|order| (order, client))).collect();
+        idle.sort_unstable_by_key(|(order, _)| *order);
+        if let Some((_, client)) = idle.into_iter().find(|(_, client)| client.socket.is_quiet()) {
+            client.close();
+        }
+    }
+
+    fn serve<S: Serve>(self: &Rc<Self>, front: &Rc<S>, stream: TcpStream) {
+        let (stream, socket) = Stream::new(stream);
+        let now = Instant::now();
+        let client = Rc::new(Client {
+            socket,
+            accepted: now,
+            asked: Cell::new(false),
+            stage: Cell::new(Stage::Idle(now)),
+            close: Notify::new(),
+            end: Notify::new(),
+        });
+        self.numbers.set(self.numbers.get() + 1);
+        let number = self.numbers.get();
+        self.clients.borrow_mut().insert(number, client.clone());
+        let (door, front) = (self.clone(), front.clone());
+        spawn_local(async move {
+            tokio::select! {
+                biased;
+                () = front.serve(stream, client.clone()) => {}
+                () = client.end.notified() => {}
+            }
+            door.clients.borrow_mut().remove(&number);
+            door.left.notify_one();
+        });
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,39 @@
+//! The operator file: a TOML file that turns on what the platform does not have. Everything wrong with it is told
+//! at once, with file, line and key.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod reader;
+mod thrift;
+
+pub use reader::Fault;
+
+use hillpick::settings::Site;
+use reader::Reader;
+use sillward_thrift::{BackendTerms, FrontTerms};
+
+/// What an operator file says.
+#[derive(Debug, Default)]
+pub struct Operator {
+    /// A listener for Thrift callers.
+    pub thrift: Option<FrontTerms>,
+    /// Machine types whose backends speak Thrift.
+    pub thrift_backends: Vec<BackendTerms>,
+}
+
+/// Reads an operator file's text against the platform's settings, or by itself where those can't be read; `name`
+/// is what faults call the file.
+///
+/// # Errors
+/// Everything that is wrong, in the order of lines.
+pub fn parse(name: &str, text: &str, site: Option<&Site>) -> Result<Operator, Vec<Fault>> {
+    let reader = Reader::new(name, text);
+    let mut operator = Operator::default();
+    reader.root(|root| {
+        if let Some(section) = root.table("thrift") {
+            thrift::read(&section, site, &mut operator);
+            section.end();
+        }
+    });
+    reader.finish(operator)
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -69,6 +69,7 @@
 }
 
 /// The times that a pool keeps.
+#[derive(Clone, Copy)]
 pub struct Terms {
     /// An idle connection is used for so long.
     pub idle_limit: Duration,
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,6 @@
+//! What stands round a node under test: stand-in backends, discovery and clients, faults and load. Blocking, on
+//! threads, and on loopback only. Checks read what these peers saw, never what the node says of itself.
+#![forbid(unsafe_code)]
+
+pub mod peers;
+pub mod tally;
--- a/tests/sockets/mod.rs
+++ b/crates/rig/src/peers.rs
@@ -1,14 +1,12 @@
 //! A node under test, run as its users run it, and scripted peers round it: backends, discovery, clients.
 //! Everything waits for events; PATIENCE only ends a test that has gone wrong.
 
-#![allow(dead_code)] // each test program uses a part of it
-
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -206,8 +204,13 @@
 }
 
 pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    entry_of("m", name, address, status)
+}
+
+/// A line of the list for a machine of that type.
+pub fn entry_of(kind: &str, name: &str, address: SocketAddr, status: &str) -> String {
     format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"{kind}","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
     )
 }
 
@@ -228,7 +231,7 @@
         [class("read", "free"), class("submit", "guarded"), class("correct", "single_shot")].join(",");
     format!(
         r#"{{"Classes":[{classes}],"Projects":[{{"Name":"acme","AllowancePerS":1000,"Share":1}}],
-        "Localities":["a","b"],"HostTypes":["m"],"Quantum":5,"OverShareWorth":1,"Rules":{{"DrainGrace":2000}},
+        "Localities":["a","b"],"HostTypes":["m","t"],"Quantum":5,"OverShareWorth":1,"Rules":{{"DrainGrace":2000}},
         "Goal":{{"Whole":1}},"LoadReport":{{"Columns":["concurrent","depth"],"Via":"piggyback"}},
         "Permissions":{{"AttemptsCap":3,"Cancel":true,"ConnectTimeout":2000,"MaxRetryAfter":1500,
         "RetryAfter":true{permissions}}}}}"#
@@ -239,20 +242,36 @@
     child: Child,
     path: PathBuf,
     pub address: SocketAddr,
+    /// Where it listens for Thrift, if its operator file says so.
+    pub thrift: Option<SocketAddr>,
     log: Arc<Mutex<Vec<String>>>,
     _unread: Option<UnixStream>,
 }
 
 static NUMBER: AtomicUsize = AtomicUsize::new(0);
 
+/// The program `sillward` of the build that this one is part of.
+pub fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("its own path");
+    let built = own.ancestors().find(|folder| folder.join("sillward").is_file());
+    built.map(|folder| folder.join("sillward")).expect("sillward is built: cargo build builds it")
+}
+
+/// A file of its own for some text.
+pub fn file(name: &str, text: &str) -> PathBuf {
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let folder = std::env::temp_dir().join(format!("sillward-rig-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a place for files");
+    let path = folder.join(format!("{number}-{name}"));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
 /// The node's command, with its configuration in a file. `shell` goes before it.
 pub fn command(config: &str, shell: &str) -> (Command, PathBuf) {
-    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let name = format!("config-{}-{number}.json", std::process::id());
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, config).expect("a place for the configuration");
+    let path = file("config.json", config);
     let mut command = Command::new("/bin/sh");
-    command.arg("-c").arg(format!("{shell}exec \"$0\"")).arg(env!("CARGO_BIN_EXE_sillward"));
+    command.arg("-c").arg(format!("{shell}exec \"$0\" \"$@\"")).arg(program());
     command.env("PROXY_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
     (command, path)
 }
@@ -271,16 +290,30 @@
 
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
-        let (mut command, path) = command(config, shell);
+        let (command, path) = command(config, shell);
+        Node::run(command, path, false)
+    }
+
+    /// A node with an operator file that has a Thrift listener or not.
+    pub fn start_with(config: &str, operator: &str) -> Self {
+        let (mut command, path) = command(config, "");
+        command.arg("--operator").arg(file("operator.toml", operator));
+        Node::run(command, path, operator.contains("listen"))
+    }
+
+    fn run(mut command: Command, path: PathBuf, thrift: bool) -> Self {
         let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
-        let first = lines.next().expect("a first line");
-        let address = first.rsplit(' ').next().and_then(|address| address.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address: {first}"));
+        let mut address = || {
+            let line = lines.next().expect("a line that says where it listens");
+            let address = line.rsplit(' ').next().and_then(|address| address.parse().ok());
+            address.unwrap_or_else(|| panic!("no address: {line}"))
+        };
+        let (address, thrift) = (address(), thrift.then(&mut address));
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Node { child, path, address, log, _unread: None }
+        Node { child, path, address, thrift, log, _unread: None }
     }
 
     /// A node whose log nobody reads, and nothing more of it can be written.
@@ -294,7 +327,7 @@
         let (mut command, path) = command(&config.replace("127.0.0.1:0", &free.to_string()), "");
         let child = command.stderr(OwnedFd::from(full)).spawn().expect("the node starts");
         until(|| TcpStream::connect(free).is_ok(), "a node that listens");
-        Node { child, path, address: free, log: Arc::default(), _unread: Some(read) }
+        Node { child, path, address: free, thrift: None, log: Arc::default(), _unread: Some(read) }
     }
 
     pub fn client(&self) -> Client {
@@ -322,6 +355,16 @@
         line.trim_end_matches("kB").trim().parse().expect("a number")
     }
 
+    /// The processor time it has used.
+    pub fn cpu_seconds(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its state");
+        let (_, fields) = stat.rsplit_once(") ").expect("fields behind its name");
+        let ticks =
+            |n: usize| fields.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).expect("a number");
+        // utime and stime, in the hundredths of a second that Linux counts them in.
+        (ticks(11) + ticks(12)) / 100.0
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
@@ -397,6 +440,21 @@
     told(node, discovery, backends)
 }
 
+/// A node with an operator file, whose list holds these lines.
+pub fn serving_operator(
+    config: &str,
+    discovery: Discovery,
+    operator: &str,
+    entries: &[String],
+) -> (Node, Watch, Discovery) {
+    let node = Node::start_with(config, operator);
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, entries));
+    until(|| node.is_ready(), "readiness");
+    (node, watch, discovery)
+}
+
 fn told(node: Node, discovery: Discovery, backends: &[&Backend]) -> (Node, Watch, Discovery) {
     let mut watch = discovery.call();
     watch.open();
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -53,7 +53,7 @@
 
 /// Tasks of the one thread that all run on.
 pub mod task {
-    pub use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local, yield_now};
+    pub use tokio::task::{AbortHandle, JoinHandle, JoinSet, LocalSet, spawn_local, yield_now};
 
     /// Runs `main` and the tasks it starts to its end.
     ///
--- /dev/null
+++ b/crates/thrift/src/backend.rs
@@ -0,0 +1,369 @@
+//! The backends' side: attempts, what their replies tell, and probes.
+//!
+//! A frame runs only once it is whole. So an attempt whose frame the kernel has not taken to its last byte has
+//! never run, and one whose frame it has may have run, whatever becomes of the connection.
+
+use crate::terms::{BackendTerms, TurnedAway};
+use crate::wire::{
+    BinaryReader, BinaryWriter, CompactReader, CompactWriter, Encoding, FrameReader, Head, Kind, Message,
+    Path, Reader, Scalar, Step, Type, Writer, frame, pick, read_exception, read_head, reword, write_head,
+};
+use crate::{BINARY, COMPACT};
+use bytes::Bytes;
+use hillpick::{LoadReport, Outcome, ServerId};
+use sillward_core::{
+    Attempt, Backends, Budget, Call, Content, Ended, Exchanged, Form, News, PROBE_TIMEOUT, READ_BUFFER,
+    Reports, Stop, Task, run,
+};
+use sillward_log::log_peer;
+use sillward_pool::{Pool, Protocol};
+use sillward_seam::Stream;
+use sillward_seam::time::timeout;
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// So many connections in a row may turn out broken before a call has gone out on them.
+const BROKEN_IN_A_ROW: usize = 4;
+
+/// Framed Thrift over a connection to a backend.
+pub struct Thrift;
+
+/// Carries one call at a time.
+pub struct Line {
+    stream: Stream,
+    /// The last sequence number. A reply to an earlier call of this connection can't pass for one to this.
+    seqid: Cell<i32>,
+}
+
+impl Protocol for Thrift {
+    type Carrier = Line;
+
+    async fn open(&self, stream: Stream) -> io::Result<Line> {
+        Ok(Line { stream, seqid: Cell::new(0) })
+    }
+
+    fn is_closed(_: &Line) -> bool {
+        false // the pool asks the kernel before it hands one out
+    }
+}
+
+/// The backends of one machine type that speak Thrift.
+pub struct Backend {
+    pool: Rc<Pool<Thrift>>,
+    terms: BackendTerms,
+    /// Room for messages.
+    budget: Budget,
+    reports: Reports,
+}
+
+/// Why there is no reply that can be used.
+enum Broken {
+    /// The connection ended, or broke.
+    Ended,
+    /// What came makes no sense, or there was no room for it.
+    Nonsense(&'static str),
+}
+
+impl Backends for Backend {
+    fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Task<Ended> {
+        Box::pin(async move {
+            let written = Cell::new(false);
+            run(&attempt, &written, self.exchange(&attempt, &written), stopped).await
+        })
+    }
+
+    fn probe(self: Rc<Self>, server: ServerId) -> Task<(Outcome, Option<LoadReport>)> {
+        Box::pin(async move {
+            timeout(PROBE_TIMEOUT, self.probed(server)).await.unwrap_or((Outcome::TimedOut, None))
+        })
+    }
+
+    fn listed(&self, news: &News, now: Duration) {
+        self.pool.update(news, now);
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.pool.close_idle(server);
+    }
+}
+
+impl Backend {
+    pub fn new(pool: Rc<Pool<Thrift>>, terms: BackendTerms, budget: Budget, reports: Reports) -> Rc<Self> {
+        Rc::new(Backend { pool, terms, budget, reports })
+    }
+
+    async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
+        let (call, clock) = (&attempt.call, self.pool.clock);
+        // Room for what is written, which is of about the call's size.
+        let Some(_room) = self.budget.lease(call.content.bytes.len()) else {
+            log_peer("no room for a call's frame: not sent");
+            return (Outcome::NotSent, None, None);
+        };
+        for _ in 0..BROKEN_IN_A_ROW {
+            let connection = match self.pool.take(attempt.server).await {
+                Ok(connection) => connection,
+                Err(outcome) => return (outcome, None, None),
+            };
+            let line = &connection.carrier;
+            line.seqid.set(line.seqid.get().wrapping_add(1));
+            let seqid = line.seqid.get();
+            // Before the claim: what can't be worded was never begun.
+            let Some(frame) = self.worded(call, seqid) else {
+                log_peer(format_args!("server {:x}: a call that can't be worded there", attempt.server.0));
+                self.pool.put(connection);
+                return (Outcome::NotSent, None, None);
+            };
+            let drained = self.pool.address(attempt.server).is_none();
+            if drained || !call.claim(clock.now(), attempt.until) {
+                self.pool.put(connection);
+                return (Outcome::NotSent, None, None);
+            }
+            if !write_whole(&line.stream, &frame).await {
+                // Its last byte was not taken: it never ran there, and another connection may have it.
+                call.unclaim();
+                continue;
+            }
+            written.set(true);
+            if !call.answered {
+                self.pool.put(connection);
+                return (Outcome::Served, None, None);
+            }
+            let (outcome, report, answer) = match self.reply(&connection.carrier).await {
+                Ok((body, behind)) => {
+                    let read = self.read(&body, self.name(call).unwrap_or_default(), seqid, call);
+                    // What is no reply to this call leaves the connection in a state that nobody knows.
+                    match read {
+                        Some((outcome, report, answer)) => {
+                            if outcome.never_ran() {
+                                call.unclaim();
+                            }
+                            if !behind {
+                                self.pool.put(connection);
+                            }
+                            (outcome, report, answer)
+                        }
+                        None => {
+                            log_peer(format_args!("server {:x}: no reply to its call", attempt.server.0));
+                            (Outcome::Error, None, None)
+                        }
+                    }
+                }
+                Err(Broken::Ended) => (Outcome::Reset, None, None),
+                Err(Broken::Nonsense(what)) => {
+                    log_peer(format_args!("server {:x}: {what}: dropped", attempt.server.0));
+                    (Outcome::Error, None, None)
+                }
+            };
+            return (outcome, report, answer);
+        }
+        (Outcome::ConnectFailed, None, None)
+    }
+
+    /// The method's name as it goes on.
+    fn name<'a>(&'a self, call: &'a Call) -> Option<&'a str> {
+        if call.content.form == Form::PLAIN {
+            let terms = self.terms.http_calls.iter().find(|terms| terms.class == call.class)?;
+            return Some(&terms.method);
+        }
+        read_head(&call.content.bytes, &self.terms.bounds).ok().map(|message| message.head.name)
+    }
+
+    /// The call's frame in these backends' encoding; `None` if it can't be worded there, or would not carry the
+    /// key by which they know a repeat.
+    fn worded(&self, call: &Call, seqid: i32) -> Option<Vec<u8>> {
+        let (bounds, encoding) = (&self.terms.bounds, self.terms.encoding);
+        if call.content.form == Form::PLAIN {
+            let terms = self.terms.http_calls.iter().find(|terms| terms.class == call.class)?;
+            let key = match (&call.idempotency_key, terms.key) {
+                (Some(key), Some(field)) => Some((field, &key[..])),
+                (Some(_), None) => return None,
+                (None, _) => None,
+            };
+            let mut out = vec![0; 4];
+            write_head(&mut out, encoding, Head { kind: Kind::Call, name: &terms.method, seqid });
+            let mut arguments = vec![(terms.target, &call.target[..]), (terms.body, &call.content.bytes[..])];
+            arguments.extend(key);
+            arguments.sort_unstable_by_key(|(field, _)| *field);
+            let out = match encoding {
+                Encoding::Binary { .. } => {
+                    let mut writer = BinaryWriter(out);
+                    write_arguments(&mut writer, &arguments);
+                    writer.0
+                }
+                Encoding::Compact => {
+                    let mut writer = CompactWriter::after(out);
+                    write_arguments(&mut writer, &arguments);
+                    writer.out
+                }
+            };
+            return (out.len() <= bounds.frame + 4).then(|| frame(out));
+        }
+        let message = read_head(&call.content.bytes, bounds).ok()?;
+        reword(&message, encoding, Head { seqid, ..message.head }, bounds).ok()
+    }
+
+    /// Reads a reply's frame, and whether something came behind it.
+    async fn reply(&self, line: &Line) -> Result<(Bytes, bool), Broken> {
+        let mut lease = self.budget.lease(0).ok_or(Broken::Nonsense("no room for a reply"))?;
+        let mut reader = FrameReader::new(self.terms.bounds.frame);
+        let mut chunk = [0; READ_BUFFER];
+        loop {
+            let count = line.stream.read(&mut chunk).await.map_err(|_| Broken::Ended)?;
+            if count == 0 {
+                return Err(Broken::Ended);
+            }
+            let (used, step) = reader.take(&chunk[..count], &mut |bytes| lease.grow(bytes));
+            match step {
+                Step::More => {}
+                Step::Whole(body) => return Ok((lease.keep(body.into()), used < count)),
+                Step::Discarded(_) => return Err(Broken::Nonsense("no room for a reply")),
+                Step::NotFramed(_) => return Err(Broken::Nonsense("a reply that is too long, or no frame")),
+            }
+        }
+    }
+
+    /// What a reply says; `None` if it is none to this call.
+    fn read(&self, body: &Bytes, name: &str, seqid: i32, call: &Call) -> Option<Exchanged> {
+        let message = read_head(body, &self.terms.bounds).ok()?;
+        if message.head.seqid != seqid || message.head.name != name {
+            return None;
+        }
+        match message.head.kind {
+            Kind::Reply => {}
+            Kind::Exception => {
+                let (number, _) = read_exception(&message, &self.terms.bounds).ok()?;
+                let never_ran = self.terms.turned_away.contains(&TurnedAway::Exception(number));
+                let outcome = if never_ran { Outcome::Rejected } else { Outcome::Error };
+                return Some((outcome, None, None));
+            }
+            Kind::Call | Kind::Oneway => return None,
+        }
+        let first = Path::field(0);
+        let plain = call.content.form == Form::PLAIN;
+        let paths = [self.terms.load_report.as_ref(), plain.then_some(&first)];
+        let (field, found) = match message.encoding {
+            Encoding::Binary { .. } => {
+                let mut reader = BinaryReader::new(message.body);
+                let found = pick(&mut reader, &paths, &self.terms.bounds).ok()?;
+                (first_field(BinaryReader::new(message.body)), reader.rest().is_empty().then_some(found)?)
+            }
+            Encoding::Compact => {
+                let mut reader = CompactReader::new(message.body);
+                let found = pick(&mut reader, &paths, &self.terms.bounds).ok()?;
+                (first_field(CompactReader::new(message.body)), reader.rest().is_empty().then_some(found)?)
+            }
+        };
+        let report = found[0].and_then(|report| self.report(report));
+        let turned = field.is_some_and(|field| self.terms.turned_away.contains(&TurnedAway::Field(field)));
+        if turned {
+            return Some((Outcome::Rejected, report, None));
+        }
+        if plain {
+            // A void result has no field; an exception that the service declares has no place in HTTP.
+            let answer = match (field, found[1]) {
+                (Some(0), Some(value)) => Some(Content::plain(value.text().into())),
+                (None, _) => Some(Content::plain(Bytes::new())),
+                _ => None,
+            };
+            let outcome = if answer.is_some() { Outcome::Served } else { Outcome::Error };
+            return Some((outcome, report, answer));
+        }
+        let form = if message.encoding == Encoding::Compact { COMPACT } else { BINARY };
+        Some((Outcome::Served, report, Some(Content { form, bytes: body.clone() })))
+    }
+
+    fn report(&self, value: Scalar<'_>) -> Option<LoadReport> {
+        let Scalar::Bytes(text) = value else { return None };
+        let text = std::str::from_utf8(text).ok().filter(|_| self.reports.any())?;
+        let report = self.reports.read(text);
+        if report.is_none() {
+            log_peer(format_args!("a malformed load report was dropped: {text:?}"));
+        }
+        report
+    }
+
+    async fn probed(self: &Rc<Self>, server: ServerId) -> (Outcome, Option<LoadReport>) {
+        let connection = match self.pool.take(server).await {
+            Ok(connection) => connection,
+            Err(outcome) => return (outcome, None),
+        };
+        let Some(name) = self.terms.probe.as_deref() else {
+            self.pool.put(connection); // that it took a connection is its sign of life
+            return (Outcome::Served, None);
+        };
+        if self.pool.address(server).is_none() {
+            return (Outcome::NotSent, None);
+        }
+        let line = &connection.carrier;
+        line.seqid.set(line.seqid.get().wrapping_add(1));
+        let seqid = line.seqid.get();
+        let mut out = vec![0; 4];
+        write_head(&mut out, self.terms.encoding, Head { kind: Kind::Call, name, seqid });
+        out.push(0); // no arguments: a stop, in either encoding
+        if !write_whole(&line.stream, &frame(out)).await {
+            return (Outcome::Reset, None);
+        }
+        match self.reply(line).await {
+            Ok((body, behind)) => {
+                let Some(report) = self.probe_report(&body, name, seqid) else {
+                    return (Outcome::Error, None);
+                };
+                if !behind {
+                    self.pool.put(connection);
+                }
+                (Outcome::Served, report)
+            }
+            Err(Broken::Ended) => (Outcome::Reset, None),
+            Err(Broken::Nonsense(_)) => (Outcome::Error, None),
+        }
+    }
+
+    /// The report in a probe's reply; `None` if it is no reply to it.
+    fn probe_report(&self, body: &[u8], name: &str, seqid: i32) -> Option<Option<LoadReport>> {
+        let message = read_head(body, &self.terms.bounds).ok()?;
+        if message.head != (Head { kind: Kind::Reply, name, seqid }) {
+            return None;
+        }
+        let paths = [self.terms.load_report.as_ref()];
+        let found = match message.encoding {
+            Encoding::Binary { .. } => pick(&mut BinaryReader::new(message.body), &paths, &self.terms.bounds),
+            Encoding::Compact => pick(&mut CompactReader::new(message.body), &paths, &self.terms.bounds),
+        };
+        Some(found.ok()?[0].and_then(|report| self.report(report)))
+    }
+}
+
+/// Whether the kernel has taken every byte. Dropped half way it has taken less, and the frame is never whole.
+async fn write_whole(stream: &Stream, mut bytes: &[u8]) -> bool {
+    while !bytes.is_empty() {
+        match stream.write(bytes).await {
+            Ok(count) if count > 0 => bytes = &bytes[count..],
+            _ => return false,
+        }
+    }
+    true
+}
+
+fn write_arguments(writer: &mut impl Writer, arguments: &[(i16, &[u8])]) {
+    let saved = writer.struct_begin();
+    for (field, value) in arguments {
+        writer.field(Type::Bytes, *field);
+        writer.bytes(value);
+    }
+    writer.struct_end(saved);
+}
+
+fn first_field<'a>(mut reader: impl Reader<'a>) -> Option<i16> {
+    reader.struct_begin();
+    reader.field().ok().flatten().map(|(_, id)| id)
+}
+
+/// Whether a body is a reply to that call, as a backend of another protocol brought it.
+pub fn is_reply(body: &[u8], to: &Message<'_>, bounds: &crate::wire::Bounds) -> bool {
+    let Ok(message) = read_head(body, bounds) else { return false };
+    let head = Head { kind: Kind::Reply, ..to.head };
+    message.head == head && reword(&message, message.encoding, head, bounds).is_ok()
+}
--- /dev/null
+++ b/crates/thrift/src/calls.rs
@@ -0,0 +1,221 @@
+//! What a caller's message must be to be taken, and how it is answered: without I/O.
+
+use crate::backend::is_reply;
+use crate::terms::{FrontTerms, Method};
+use crate::wire::{
+    BinaryReader, CompactReader, Encoding, ExceptionKind, Fault, Head, Kind, Message, Reader, Scalar,
+    exception, pick, read_head, reword,
+};
+use crate::{BINARY, COMPACT};
+use bytes::Bytes;
+use hillpick::settings::Site;
+use hillpick::{NewRequest, Repeat};
+use sillward_core::{Answer, Call, Content, Judge, key_number};
+use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+const LONGEST_BUDGET_MS: i64 = 600_000;
+/// The longest station key and idempotency key.
+const LONGEST_KEY: usize = 256;
+
+/// Whose answer it is: how a caller knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    pub encoding: Encoding,
+    pub name: String,
+    pub seqid: i32,
+}
+
+/// A message that can be taken.
+pub struct Checked {
+    pub new: NewRequest,
+    pub call: Call,
+    pub caller: Caller,
+}
+
+/// Why a message is not taken.
+#[derive(Debug)]
+pub struct Turned {
+    /// The answer's frame; `None` where nobody waits for one.
+    pub frame: Option<Vec<u8>>,
+    /// Nobody can tell what follows: the connection ends.
+    pub last: bool,
+}
+
+/// Reads a message's head, as far as `bytes` have it.
+pub fn head<'a>(terms: &FrontTerms, bytes: &'a [u8]) -> Result<Message<'a>, Turned> {
+    let message = read_head(bytes, &terms.bounds).map_err(|fault| {
+        let encoding = crate::wire::encoding_of(bytes).unwrap_or(Encoding::Binary { strict: true });
+        let text = format!("no message: {fault}");
+        let frame = exception(encoding, "", 0, ExceptionKind::ProtocolError, &text, None);
+        Turned { frame: Some(frame), last: true }
+    })?;
+    match message.head.kind {
+        Kind::Call | Kind::Oneway => Ok(message),
+        Kind::Reply | Kind::Exception => {
+            Err(turned(&message, ExceptionKind::InvalidMessageType, "neither a call nor a oneway call"))
+        }
+    }
+}
+
+fn turned(message: &Message<'_>, kind: ExceptionKind, text: &str) -> Turned {
+    let Head { name, seqid, .. } = message.head;
+    let answered = message.head.kind != Kind::Oneway;
+    let frame = answered.then(|| exception(message.encoding, name, seqid, kind, text, None));
+    Turned { frame, last: false }
+}
+
+/// Reads a message as the terms word it. What does not fit never reaches a backend.
+pub fn check(
+    terms: &FrontTerms,
+    site: &Site,
+    bytes: Bytes,
+    call_id: u128,
+    now: Duration,
+) -> Result<Checked, Turned> {
+    let message = head(terms, &bytes)?;
+    let bad = |text: &str| turned(&message, ExceptionKind::ProtocolError, text);
+    let method = method(terms, message.head.name)
+        .ok_or_else(|| turned(&message, ExceptionKind::UnknownMethod, "unknown method"))?;
+    let paths = [
+        method.station_key.as_ref(),
+        method.idempotency_key.as_ref(),
+        method.tenant.as_ref(),
+        method.budget.as_ref(),
+    ];
+    let found = match message.encoding {
+        Encoding::Binary { .. } => {
+            let mut reader = BinaryReader::new(message.body);
+            pick(&mut reader, &paths, &terms.bounds).map(|found| (found, reader.rest()))
+        }
+        Encoding::Compact => {
+            let mut reader = CompactReader::new(message.body);
+            pick(&mut reader, &paths, &terms.bounds).map(|found| (found, reader.rest()))
+        }
+    };
+    let (found, rest) = found.map_err(|fault| bad(&format!("arguments that can't be read: {fault}")))?;
+    if !rest.is_empty() {
+        return Err(bad(&format!("arguments that can't be read: {}", Fault::Behind)));
+    }
+
+    let station = found[0].map_or(method.default_station_key.clone().into_bytes(), |key| key.text());
+    let key = found[1].map(|key| key.text());
+    if station.len() > LONGEST_KEY || key.as_ref().is_some_and(|key| key.len() > LONGEST_KEY) {
+        return Err(bad("a key of more than 256 bytes"));
+    }
+    let class = &site.settings.classes[method.class];
+    let window = match class.repeat {
+        Repeat::Keyed { window, .. } => Some(window),
+        Repeat::Safe | Repeat::Unsafe => None,
+    };
+    if window.is_some() && key.as_ref().is_none_or(Vec::is_empty) && !method.key_from_content {
+        return Err(bad("no idempotency key"));
+    }
+    let tenant = match found[2] {
+        Some(name) => {
+            let name = name.text();
+            let tenant = site.tenant_names.iter().position(|known| known.as_bytes() == name);
+            tenant.ok_or_else(|| bad("unknown tenant"))?
+        }
+        None if site.tenant_names.is_empty() => 0,
+        None => method.default_tenant.ok_or_else(|| bad("no tenant"))?,
+    };
+    let budget = match found[3] {
+        Some(Scalar::Number(ms)) if (1..=LONGEST_BUDGET_MS).contains(&ms) => Duration::from_millis(ms as u64),
+        Some(_) => return Err(bad("no budget that makes sense")),
+        None => method.default_budget,
+    };
+
+    let station_number = match std::str::from_utf8(&station) {
+        Ok("") => 0,
+        Ok(text) => key_number(text),
+        Err(_) => hashed(&station),
+    };
+    let new = NewRequest {
+        class: method.class,
+        tenant,
+        key: station_number,
+        remaining: budget,
+        ..NewRequest::default()
+    };
+    let caller =
+        Caller { encoding: message.encoding, name: message.head.name.to_owned(), seqid: message.head.seqid };
+    let form = if message.encoding == Encoding::Compact { COMPACT } else { BINARY };
+    let call = Call {
+        class: method.class,
+        safe: class.repeat == Repeat::Safe,
+        target: target(&site.class_names[method.class], &station),
+        call_id: format!("{call_id:032x}").into(),
+        idempotency_key: key.filter(|key| !key.is_empty()).map(Bytes::from),
+        judge: Some(judge(&bytes, terms)),
+        answered: message.head.kind != Kind::Oneway,
+        content: Content { form, bytes: bytes.clone() },
+        deadline: now + budget,
+        window,
+        first_byte: Cell::new(None),
+        over: Cell::new(false),
+        out: Cell::new(0),
+    };
+    Ok(Checked { new, call, caller })
+}
+
+fn judge(call: &Bytes, terms: &FrontTerms) -> Judge {
+    let (call, bounds) = (call.clone(), terms.bounds);
+    Rc::new(move |body| read_head(&call, &bounds).is_ok_and(|message| is_reply(body, &message, &bounds)))
+}
+
+fn method<'a>(terms: &'a FrontTerms, name: &str) -> Option<&'a Method> {
+    let (service, name) = match name.split_once(':') {
+        Some((service, name)) => (Some(service), name),
+        None => (None, name),
+    };
+    terms.methods.iter().find(|method| method.name == name && method.service.as_deref() == service)
+}
+
+/// Where an HTTP backend finds the call: its class first and its station last, whatever bytes that has.
+fn target(class: &str, station: &[u8]) -> Bytes {
+    let mut target = format!("/{class}/").into_bytes();
+    for byte in station {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => target.push(*byte),
+            other => target.extend_from_slice(format!("%{other:02X}").as_bytes()),
+        }
+    }
+    target.into()
+}
+
+fn hashed(bytes: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    bytes.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The frame of a final answer, in its caller's words. Refused, failed and timed out are told apart by the type
+/// of the `TApplicationException`.
+pub fn worded(terms: &FrontTerms, caller: &Caller, answer: Answer) -> Vec<u8> {
+    let Caller { encoding, name, seqid } = caller;
+    let except = |kind, text: &str, retry| exception(*encoding, name, *seqid, kind, text, retry);
+    let failed = || except(ExceptionKind::InternalError, "failed: it may have run", None);
+    match answer {
+        Answer::Served(content) if content.form == BINARY || content.form == COMPACT => {
+            let reworded = read_head(&content.bytes, &terms.bounds).and_then(|message| {
+                let head = Head { kind: message.head.kind, name, seqid: *seqid };
+                reword(&message, *encoding, head, &terms.bounds)
+            });
+            // A reply that is compact in time may be too large for a frame in binary.
+            reworded.unwrap_or_else(|_| failed())
+        }
+        Answer::Served(_) | Answer::Failed => failed(),
+        Answer::Refused(after) => {
+            let ms = after.map(|after| i32::try_from(after.as_millis()).unwrap_or(i32::MAX));
+            let text = match ms {
+                Some(ms) => format!("refused: it never ran; try again in {ms} ms"),
+                None => "refused: it never ran".to_owned(),
+            };
+            except(ExceptionKind::UnsupportedClientType, &text, ms)
+        }
+        Answer::TimedOut => except(ExceptionKind::MissingResult, "timed out: it may have run", None),
+    }
+}
--- /dev/null
+++ b/crates/thrift/src/front.rs
@@ -0,0 +1,324 @@
+//! The callers' side: takes frames, several calls of a connection at once, and writes the final answers that the
+//! node gives.
+
+use crate::calls::{self, Caller, Checked, Turned};
+use crate::terms::{FrontTerms, Order};
+use crate::wire::{Encoding, ExceptionKind, FrameReader, NotFramed, Step, exception, read_head};
+use bytes::Bytes;
+use hillpick::settings::Site;
+use sillward_core::{Answer, Budget, Intake, Lease, READ_BUFFER};
+use sillward_listener::{Client, Door, LINGER, READ_TIMEOUT, Serve};
+use sillward_log::log_peer;
+use sillward_seam::Stream;
+use sillward_seam::random::Random;
+use sillward_seam::task::{JoinSet, spawn_local};
+use sillward_seam::time::{Instant, sleep_until, timeout};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A caller that takes nothing of its answers for so long is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// While so many bytes of answers wait to be taken, no further call of that connection is read.
+const UNTAKEN: usize = 64 * 1024;
+const HTTP_ANSWER: &[u8] = b"HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nContent-Length: 36\r\n\
+Connection: close\r\n\r\nThis listener speaks framed Thrift.\n";
+
+/// The front for callers that speak Thrift.
+pub struct Front {
+    intake: Intake,
+    site: Site,
+    terms: FrontTerms,
+    door: Rc<Door>,
+    /// Room for frames.
+    budget: Budget,
+    random: RefCell<Random>,
+    oneway: Cell<u64>,
+}
+
+impl Front {
+    pub fn new(
+        intake: Intake,
+        site: Site,
+        terms: FrontTerms,
+        door: Rc<Door>,
+        budget: Budget,
+        seed: u64,
+    ) -> Rc<Self> {
+        let random = RefCell::new(Random::seeded(seed.rotate_left(32)));
+        Rc::new(Front { intake, site, terms, door, budget, random, oneway: Cell::new(0) })
+    }
+
+    /// How many oneway calls have been taken.
+    pub fn oneway_calls(&self) -> u64 {
+        self.oneway.get()
+    }
+
+    /// A name for a call, which no other node's call is likely to have.
+    fn call_id(&self) -> u128 {
+        let mut random = self.random.borrow_mut();
+        (0..4).fold(0, |id, _| id << 32 | u128::from(random.number()))
+    }
+}
+
+impl Serve for Front {
+    async fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) {
+        let Some(room) = self.budget.lease(0) else { return };
+        let reader = FrameReader::new(self.terms.bounds.frame);
+        let mut session = Session {
+            front: self,
+            stream,
+            client,
+            reader,
+            room,
+            unread: VecDeque::new(),
+            until: None,
+            waiting: None,
+            calls: JoinSet::new(),
+            open: BTreeSet::new(),
+            out: VecDeque::new(),
+            taken: 0,
+            progress: Instant::now(),
+            busy: false,
+            ended: false,
+            leaving: false,
+        };
+        session.run().await;
+    }
+}
+
+/// A caller's connection.
+struct Session {
+    front: Rc<Front>,
+    stream: Stream,
+    client: Rc<Client>,
+    reader: FrameReader,
+    /// The room of the frame that is being read.
+    room: Lease,
+    /// What came behind a frame whose turn has not come; at most a chunk.
+    unread: VecDeque<u8>,
+    /// When the frame that is being read must be whole.
+    until: Option<Instant>,
+    /// A frame whose turn has not come.
+    waiting: Option<Bytes>,
+    calls: JoinSet<(i32, Vec<u8>, Option<Lease>)>,
+    /// The sequence numbers of the calls that are open.
+    open: BTreeSet<i32>,
+    /// Answers' frames that wait to be taken, and how much of the first has been.
+    out: VecDeque<(Vec<u8>, Option<Lease>)>,
+    taken: usize,
+    /// When the caller last took something, or had nothing to take.
+    progress: Instant,
+    /// A call has been taken since the door was told that none is open.
+    busy: bool,
+    /// Nothing more is read: what came can't be.
+    ended: bool,
+    /// Told to close.
+    leaving: bool,
+}
+
+impl Session {
+    async fn run(&mut self) {
+        let mut chunk = [0; READ_BUFFER];
+        loop {
+            self.advance();
+            if self.is_idle() {
+                if self.busy && !self.ended {
+                    self.busy = false;
+                    self.front.door.done(&self.client, false, self.reader.is_within());
+                }
+                let nothing_more = self.leaving && !self.reader.is_within() && self.client.is_quiet();
+                if self.ended || nothing_more {
+                    break;
+                }
+            }
+            let Session { calls, stream, client, out, .. } = self;
+            let may_read = self.waiting.is_none() && !self.ended && self.unread.is_empty();
+            let taken_by = self.progress + WRITE_TIMEOUT;
+            let answer = out.front().map_or(&[][..], |(frame, _)| &frame[self.taken..]);
+            tokio::select! {
+                biased;
+                Some(done) = calls.join_next(), if !calls.is_empty() => {
+                    // A task that panicked would be this node's fault: its caller sees the connection end.
+                    let Ok((seqid, frame, lease)) = done else { return };
+                    self.open.remove(&seqid);
+                    self.push(frame, lease);
+                }
+                count = stream.write(answer), if !answer.is_empty() => match count {
+                    Ok(count) if count > 0 => self.took(count),
+                    _ => return,
+                },
+                count = stream.read(&mut chunk), if may_read => match count {
+                    // The caller has left: its calls go with it.
+                    Ok(0) | Err(_) => return,
+                    Ok(count) => self.unread.extend(&chunk[..count]),
+                },
+                () = client.told_to_close(), if !self.leaving => self.leaving = true,
+                () = sleep_until(self.until.unwrap_or(taken_by)), if self.until.is_some() => {
+                    self.turn_down(NotWhole::Slow);
+                }
+                () = sleep_until(taken_by), if !out.is_empty() => return,
+            }
+        }
+        // Closed with bytes unread, the connection would be reset, and its caller might not see the last answer.
+        self.front.door.done(&self.client, true, false);
+        if self.stream.shut_write().is_ok() {
+            let rest = async { while self.stream.read(&mut chunk).await.is_ok_and(|count| count > 0) {} };
+            let _ = timeout(LINGER, rest).await;
+        }
+    }
+
+    /// Whether no call is open and every answer has been taken.
+    fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.out.is_empty() && self.waiting.is_none()
+    }
+
+    /// Small frames, which the node makes itself, have no lease.
+    fn push(&mut self, frame: Vec<u8>, lease: Option<Lease>) {
+        if self.out.is_empty() {
+            self.progress = Instant::now();
+        }
+        self.out.push_back((frame, lease));
+    }
+
+    fn took(&mut self, count: usize) {
+        self.progress = Instant::now();
+        self.taken += count;
+        if self.out.front().is_some_and(|(frame, _)| self.taken >= frame.len()) {
+            self.out.pop_front();
+            self.taken = 0;
+        }
+    }
+
+    /// Takes frames out of what has come, for as long as their turn comes.
+    fn advance(&mut self) {
+        if let Some(frame) = self.waiting.take() {
+            self.arrived(frame);
+        }
+        let untaken: usize = self.out.iter().map(|(frame, _)| frame.len()).sum();
+        if untaken > UNTAKEN {
+            return;
+        }
+        while self.waiting.is_none() && !self.ended && !self.unread.is_empty() {
+            let room = &mut self.room;
+            let bytes = self.unread.make_contiguous();
+            let (used, step) = self.reader.take(bytes, &mut |bytes| room.grow(bytes));
+            self.unread.drain(..used);
+            let lease = match step {
+                Step::More => {
+                    self.until = self.until.or_else(|| Some(Instant::now() + READ_TIMEOUT));
+                    continue;
+                }
+                _ => self.front.budget.lease(0).map(|new| std::mem::replace(&mut self.room, new)),
+            };
+            self.until = None;
+            match (step, lease) {
+                (Step::Whole(frame), Some(lease)) => {
+                    let frame = lease.keep(frame.into());
+                    self.arrived(frame);
+                }
+                (Step::Discarded(begin), _) => self.turn_down(NotWhole::NoRoom(&begin)),
+                (Step::NotFramed(what), _) => self.turn_down(NotWhole::NotFramed(what)),
+                _ => self.ended = true,
+            }
+        }
+    }
+
+    /// A whole frame: taken if its turn has come.
+    fn arrived(&mut self, frame: Bytes) {
+        let terms = &self.front.terms;
+        let seqid = read_head(&frame, &terms.bounds).map(|message| message.head.seqid);
+        let later = match terms.order {
+            Order::Called => !self.calls.is_empty() || !self.out.is_empty(),
+            Order::Finished => seqid.is_ok_and(|seqid| self.open.contains(&seqid)),
+        };
+        if later || self.calls.len() >= terms.calls_in_flight {
+            self.waiting = Some(frame);
+            return;
+        }
+        self.client.opened();
+        self.busy = true;
+        let front = self.front.clone();
+        let at = front.intake.clock().now();
+        match calls::check(terms, &front.site, frame, front.call_id(), at) {
+            Ok(Checked { new, call, .. }) if !call.answered => {
+                front.oneway.set(front.oneway.get() + 1);
+                // Whoever called may leave at once: the call stays.
+                spawn_local(async move {
+                    let _ = front.intake.submit(new, call, at).await;
+                });
+            }
+            Ok(Checked { new, call, caller }) => {
+                self.open.insert(caller.seqid);
+                self.calls.spawn_local(async move {
+                    let answer = front.intake.submit(new, call, at).await;
+                    let answer = answer.unwrap_or(Answer::Failed);
+                    let frame = calls::worded(&front.terms, &caller, answer);
+                    match front.budget.lease(frame.capacity()) {
+                        Some(lease) => (caller.seqid, frame, Some(lease)),
+                        None => {
+                            log_peer("no room for an answer's frame: dropped");
+                            (caller.seqid, calls::worded(&front.terms, &caller, Answer::Failed), None)
+                        }
+                    }
+                });
+            }
+            Err(turned) => self.turned(turned),
+        }
+    }
+
+    fn turned(&mut self, turned: Turned) {
+        if let Some(frame) = turned.frame {
+            self.push(frame, None);
+        }
+        self.ended |= turned.last;
+    }
+
+    /// Answers what will not be read.
+    fn turn_down(&mut self, what: NotWhole<'_>) {
+        let strict = Encoding::Binary { strict: true };
+        let refuse =
+            |encoding, text: &str| exception(encoding, "", 0, ExceptionKind::ProtocolError, text, None);
+        self.until = None;
+        let (frame, last) = match what {
+            NotWhole::NoRoom(begin) => match calls::head(&self.front.terms, begin) {
+                Ok(message) => {
+                    log_peer("no room for a call's frame: refused");
+                    let caller = Caller {
+                        encoding: message.encoding,
+                        name: message.head.name.to_owned(),
+                        seqid: message.head.seqid,
+                    };
+                    let after = self.front.site.settings.limits.max_retry_after;
+                    (calls::worded(&self.front.terms, &caller, Answer::Refused(after)), false)
+                }
+                Err(turned) => return self.turned(turned),
+            },
+            NotWhole::Slow => (refuse(strict, "too slow: the frame is not whole after 2 s"), true),
+            NotWhole::NotFramed(NotFramed::Http) => (HTTP_ANSWER.to_vec(), true),
+            NotWhole::NotFramed(NotFramed::Unframed) => {
+                let text = "this listener takes framed messages only";
+                // In kind: without the frame's length.
+                (refuse(strict, text).split_off(4), true)
+            }
+            NotWhole::NotFramed(NotFramed::Tls) => (Vec::new(), true),
+            NotWhole::NotFramed(NotFramed::Length(length)) => {
+                let most = self.front.terms.bounds.frame;
+                (refuse(strict, &format!("a frame of {length} bytes: {most} at most")), true)
+            }
+        };
+        if !frame.is_empty() {
+            self.push(frame, None);
+        }
+        self.ended |= last;
+    }
+}
+
+/// What comes to no frame that can be taken.
+enum NotWhole<'a> {
+    Slow,
+    /// There was no room for it; this is its beginning.
+    NoRoom(&'a [u8]),
+    NotFramed(NotFramed),
+}
--- /dev/null
+++ b/crates/thrift/src/lib.rs
@@ -0,0 +1,19 @@
+//! Thrift: framed transport, binary and compact encoding, multiplexed names. The encodings ([`wire`]) do no I/O.
+#![forbid(unsafe_code)]
+
+mod backend;
+mod calls;
+mod front;
+mod terms;
+pub mod wire;
+
+pub use backend::{Backend, Thrift};
+pub use front::Front;
+pub use terms::{BackendTerms, FrontTerms, HttpCall, Method, Order, TurnedAway};
+
+use sillward_core::Form;
+
+/// A message in the binary encoding. Its name is the media type of Thrift over HTTP.
+pub const BINARY: Form = Form("application/vnd.apache.thrift.binary");
+/// A message in the compact encoding.
+pub const COMPACT: Form = Form("application/vnd.apache.thrift.compact");
--- /dev/null
+++ b/crates/thrift/src/wire/binary.rs
@@ -0,0 +1,180 @@
+//! The binary protocol: fixed sizes, big endian.
+
+use super::{Fault, Reader, Slice, Type, Writer};
+
+/// Reads the binary protocol.
+pub struct BinaryReader<'a>(Slice<'a>);
+
+impl<'a> BinaryReader<'a> {
+    /// A reader of these bytes.
+    pub fn new(bytes: &'a [u8]) -> Self {
+        BinaryReader(Slice(bytes))
+    }
+
+    fn length(&mut self) -> Result<usize, Fault> {
+        usize::try_from(self.i32()?).map_err(|_| Fault::Negative)
+    }
+}
+
+impl<'a> Reader<'a> for BinaryReader<'a> {
+    fn least(of: Type) -> usize {
+        match of {
+            Type::Stop => 0,
+            Type::Bool | Type::I8 | Type::Struct => 1,
+            Type::I16 => 2,
+            Type::I32 | Type::Bytes => 4,
+            Type::List | Type::Set => 5,
+            Type::Map => 6,
+            Type::I64 | Type::Double => 8,
+            Type::Uuid => 16,
+        }
+    }
+
+    fn rest(&self) -> &'a [u8] {
+        self.0.0
+    }
+
+    fn struct_begin(&mut self) -> i16 {
+        0
+    }
+
+    fn struct_end(&mut self, _: i16) {}
+
+    #[inline]
+    fn field(&mut self) -> Result<Option<(Type, i16)>, Fault> {
+        match Type::from_binary(self.0.byte()?)? {
+            Type::Stop => Ok(None),
+            of => Ok(Some((of, self.i16()?))),
+        }
+    }
+
+    fn bool(&mut self) -> Result<bool, Fault> {
+        match self.0.byte()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            other => Err(Fault::Bool(other)),
+        }
+    }
+
+    fn i8(&mut self) -> Result<i8, Fault> {
+        self.0.byte().map(|byte| byte as i8)
+    }
+
+    fn i16(&mut self) -> Result<i16, Fault> {
+        self.0.array().map(i16::from_be_bytes)
+    }
+
+    fn i32(&mut self) -> Result<i32, Fault> {
+        self.0.array().map(i32::from_be_bytes)
+    }
+
+    fn i64(&mut self) -> Result<i64, Fault> {
+        self.0.array().map(i64::from_be_bytes)
+    }
+
+    fn double(&mut self) -> Result<u64, Fault> {
+        self.0.array().map(u64::from_be_bytes)
+    }
+
+    #[inline]
+    fn bytes(&mut self) -> Result<&'a [u8], Fault> {
+        let length = self.length()?;
+        if length > self.0.0.len() {
+            return Err(Fault::Count);
+        }
+        self.0.take(length)
+    }
+
+    fn uuid(&mut self) -> Result<[u8; 16], Fault> {
+        self.0.array()
+    }
+
+    fn list(&mut self) -> Result<(Type, usize), Fault> {
+        let of = Type::from_binary(self.0.byte()?)?;
+        let count = self.length()?;
+        Ok((of, self.0.met(count, Self::least(of))?))
+    }
+
+    fn map(&mut self) -> Result<(Type, Type, usize), Fault> {
+        let (keys, values) = (Type::from_binary(self.0.byte()?)?, Type::from_binary(self.0.byte()?)?);
+        let count = self.length()?;
+        if count > 0 && (keys == Type::Stop || values == Type::Stop) {
+            return Err(Fault::Type(0));
+        }
+        Ok((keys, values, self.0.met(count, Self::least(keys) + Self::least(values))?))
+    }
+}
+
+/// Writes the binary protocol.
+#[derive(Default)]
+pub struct BinaryWriter(pub Vec<u8>);
+
+impl BinaryWriter {
+    fn length(&mut self, length: usize) {
+        // Frames are far below 2 GiB, and with them all that is in one.
+        self.i32(i32::try_from(length).unwrap_or(i32::MAX));
+    }
+}
+
+impl Writer for BinaryWriter {
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn struct_begin(&mut self) -> i16 {
+        0
+    }
+
+    fn struct_end(&mut self, _: i16) {
+        self.0.push(0);
+    }
+
+    #[inline]
+    fn field(&mut self, of: Type, id: i16) {
+        let [high, low] = id.to_be_bytes();
+        self.0.extend_from_slice(&[of as u8, high, low]);
+    }
+
+    fn bool(&mut self, value: bool) {
+        self.0.push(u8::from(value));
+    }
+
+    fn i8(&mut self, value: i8) {
+        self.0.push(value as u8);
+    }
+
+    fn i16(&mut self, value: i16) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn i32(&mut self, value: i32) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn i64(&mut self, value: i64) {
+        self.0.extend_from_slice(&value.to_be_bytes());
+    }
+
+    fn double(&mut self, bits: u64) {
+        self.0.extend_from_slice(&bits.to_be_bytes());
+    }
+
+    fn bytes(&mut self, value: &[u8]) {
+        self.length(value.len());
+        self.0.extend_from_slice(value);
+    }
+
+    fn uuid(&mut self, value: [u8; 16]) {
+        self.0.extend_from_slice(&value);
+    }
+
+    fn list(&mut self, of: Type, count: usize) {
+        self.0.push(of as u8);
+        self.length(count);
+    }
+
+    fn map(&mut self, keys: Type, values: Type, count: usize) {
+        self.0.extend_from_slice(&[keys as u8, values as u8]);
+        self.length(count);
+    }
+}
--- /dev/null
+++ b/crates/thrift/src/wire/copy.rs
@@ -0,0 +1,103 @@
+//! Values from one encoding to another, or to nowhere: that is how they are checked.
+
+use super::{Bounds, Fault, Reader, Type, Writer};
+
+/// Copies a value of that type. `depth` is how many levels it may have.
+///
+/// # Errors
+/// The bytes are no such value, it has too many levels, or what is written is larger than a frame.
+pub fn copy<'a, R: Reader<'a>, W: Writer>(
+    from: &mut R,
+    to: &mut W,
+    of: Type,
+    bounds: &Bounds,
+    depth: usize,
+) -> Result<(), Fault> {
+    // A byte may become eight: what is written is bounded by itself.
+    if to.len() > bounds.frame {
+        return Err(Fault::Large);
+    }
+    match of {
+        Type::Stop => return Err(Fault::Type(0)),
+        Type::Bool => to.bool(from.bool()?),
+        Type::I8 => to.i8(from.i8()?),
+        Type::Double => to.double(from.double()?),
+        Type::I16 => to.i16(from.i16()?),
+        Type::I32 => to.i32(from.i32()?),
+        Type::I64 => to.i64(from.i64()?),
+        Type::Bytes => to.bytes(from.bytes()?),
+        Type::Uuid => to.uuid(from.uuid()?),
+        Type::Struct => return copy_struct(from, to, bounds, depth),
+        Type::List | Type::Set => {
+            let depth = depth.checked_sub(1).ok_or(Fault::Depth)?;
+            let (of, count) = from.list()?;
+            to.list(of, count);
+            for _ in 0..count {
+                copy(from, to, of, bounds, depth)?;
+            }
+        }
+        Type::Map => {
+            let depth = depth.checked_sub(1).ok_or(Fault::Depth)?;
+            let (keys, values, count) = from.map()?;
+            to.map(keys, values, count);
+            for _ in 0..count {
+                copy(from, to, keys, bounds, depth)?;
+                copy(from, to, values, bounds, depth)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Copies a struct with its stop.
+///
+/// # Errors
+/// As [`copy`].
+pub fn copy_struct<'a, R: Reader<'a>, W: Writer>(
+    from: &mut R,
+    to: &mut W,
+    bounds: &Bounds,
+    depth: usize,
+) -> Result<(), Fault> {
+    let depth = depth.checked_sub(1).ok_or(Fault::Depth)?;
+    let (read, written) = (from.struct_begin(), to.struct_begin());
+    while let Some((of, id)) = from.field()? {
+        to.field(of, id);
+        copy(from, to, of, bounds, depth)?;
+    }
+    from.struct_end(read);
+    to.struct_end(written);
+    if to.len() > bounds.frame { Err(Fault::Large) } else { Ok(()) }
+}
+
+/// Reads over a value, and so checks it.
+///
+/// # Errors
+/// As [`copy`].
+pub fn skip<'a, R: Reader<'a>>(from: &mut R, of: Type, bounds: &Bounds, depth: usize) -> Result<(), Fault> {
+    copy(from, &mut Nowhere, of, bounds, depth)
+}
+
+/// Takes what is only to be checked.
+struct Nowhere;
+
+impl Writer for Nowhere {
+    fn len(&self) -> usize {
+        0
+    }
+    fn struct_begin(&mut self) -> i16 {
+        0
+    }
+    fn struct_end(&mut self, _: i16) {}
+    fn field(&mut self, _: Type, _: i16) {}
+    fn bool(&mut self, _: bool) {}
+    fn i8(&mut self, _: i8) {}
+    fn i16(&mut self, _: i16) {}
+    fn i32(&mut self, _: i32) {}
+    fn i64(&mut self, _: i64) {}
+    fn double(&mut self, _: u64) {}
+    fn bytes(&mut self, _: &[u8]) {}
+    fn uuid(&mut self, _: [u8; 16]) {}
+    fn list(&mut self, _: Type, _: usize) {}
+    fn map(&mut self, _: Type, _: Type, _: usize) {}
+}
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -1,8 +1,6 @@
 //! Bad clients beside good ones, over loopback sockets.
 
-mod sockets;
-
-use sockets::*;
+use rig::peers::*;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,8 +1,6 @@
 //! The real node over loopback sockets: each test is one failure, seen by a peer.
 
-mod sockets;
-
-use sockets::*;
+use rig::peers::*;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
