--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use rig::scenario::{self, demo, load, thrift};
-use rig::tally::BINARY;
+use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -47,6 +47,11 @@
         #[arg(long, default_value_t = 48_000)]
         calls: usize,
     },
+    /// Makes one call, and shows its answer
+    Call {
+        #[command(subcommand)]
+        protocol: CallBy,
+    },
     /// Runs a stand-in alone
     Serve {
         #[command(subcommand)]
@@ -65,6 +70,24 @@
     },
 }
 
+#[derive(Subcommand)]
+enum CallBy {
+    /// A method of the service Tally
+    Thrift {
+        #[arg(long)]
+        encoding: Wording,
+        #[arg(long)]
+        to: SocketAddr,
+        /// Its full name
+        #[arg(long, default_value = "Tally:read")]
+        method: String,
+        #[arg(long, default_value = "1f")]
+        station: String,
+        #[arg(long, default_value = "")]
+        key: String,
+    },
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Plant {
     DoubleSend,
@@ -76,6 +99,15 @@
     Compact,
 }
 
+impl From<Wording> for Encoding {
+    fn from(wording: Wording) -> Self {
+        match wording {
+            Wording::Binary => BINARY,
+            Wording::Compact => Encoding::Compact,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if matches!(arguments.what, What::Demo { .. } | What::Thrift { .. } | What::Load { .. }) && !build() {
@@ -95,12 +127,21 @@
             thrift::run(&thrift::Options { seed, seconds, rate, double_send })
         }
         What::Load { calls } => load::run(calls),
+        What::Call { protocol: CallBy::Thrift { encoding, to, method, station, key } } => {
+            match Caller::try_connect(to, encoding.into()) {
+                Ok(mut caller) => {
+                    let answer = caller.call(&method, &[origin(&station, &key, 1000)]);
+                    println!("{:?}: {answer:?}", answer.end());
+                    u8::from(answer.end() != End::Served)
+                }
+                Err(e) => {
+                    eprintln!("cannot connect to {to}: {e}");
+                    1
+                }
+            }
+        }
         What::Serve { stand_in: StandIn::Thrift { encoding, listen } } => {
-            let encoding = match encoding {
-                Wording::Binary => BINARY,
-                Wording::Compact => Encoding::Compact,
-            };
-            let tally = load::serve(encoding, listen);
+            let tally = load::serve(encoding.into(), listen);
             println!("a tally box listens on {}", tally.address);
             loop {
                 std::thread::park();
--- a/tests/thrift.rs
+++ b/tests/thrift.rs
@@ -571,6 +571,26 @@
     }
 }
 
+/// Its content is a key that a Thrift box can see and an HTTP box's header does not have.
+#[test]
+fn work_that_is_keyed_by_its_content_goes_to_thrift_boxes_alone() {
+    let tally = Tally::start(BINARY, |_| ok("counted"));
+    let http = Backend::start(|_| peers::ok("never"));
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &settings(LONG, ""), 1024);
+    let lines =
+        [entry_of("t", "t-0", tally.address, "in_service"), entry_of("m", "m-0", http.address, "in_service")];
+    let content = "idempotency_key = \"1.2\"\ndefault_idempotency_key = \"content\"";
+    let operator = operator("binary", "").replace("idempotency_key = \"1.2\"", content);
+    let site = site_of(config, discovery, &operator, &lines);
+    for i in 0..20 {
+        let end = site.caller(BOTH[i % 2]).submit("").end();
+        assert!(matches!(end, End::Served | End::Refused), "{end:?}");
+    }
+    assert_eq!(http.count(), 0);
+    assert!(tally.count() > 0);
+}
+
 #[test]
 fn callers_of_both_encodings_and_of_http_share_a_box_and_unsafe_work_runs_once() {
     for encoding in BOTH {
