Membership from etcd's watch API beside the roster, decided by a module of its own

Need: other installations keep their backends in etcd, and a drain told there must start its window through compaction, silence and restarts.

Change: crates/membership merges any number of sources without I/O: the strictest word counts, a newer run voids it, silence undoes nothing, and a list that shrinks absurdly is held. crates/etcd follows Range and Watch over h2 with messages by hand (no protoc); its session, without I/O, says when to watch on and when to list anew. crates/hub carries tellings between; without [etcd] in the operator file the roster tells the node as ever. crates/admin shows who says what. The rig has an etcd from the public proto files, `rig etcd` and `rig serve etcd`.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -8,3 +8,4 @@
 
 pub use backend::{Backend, Http1};
 pub use front::Front;
+pub use socket::Socket;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod etcd;
 mod reader;
 mod thrift;
 
@@ -10,7 +11,9 @@
 
 use hillpick::settings::Site;
 use reader::Reader;
+use sillward_membership::Guard;
 use sillward_thrift::{BackendTerms, FrontTerms};
+use std::net::SocketAddr;
 
 /// What an operator file says.
 #[derive(Debug, Default)]
@@ -19,6 +22,10 @@
     pub thrift: Option<FrontTerms>,
     /// Machine types whose backends speak Thrift.
     pub thrift_backends: Vec<BackendTerms>,
+    /// Membership from etcd, with the guard of its lists.
+    pub etcd: Option<(sillward_etcd::Terms, Guard)>,
+    /// A listener for operators' pages.
+    pub admin: Option<SocketAddr>,
 }
 
 /// Reads an operator file's text against the platform's settings, or by itself where those can't be read; `name`
@@ -30,6 +37,17 @@
     let reader = Reader::new(name, text);
     let mut operator = Operator::default();
     reader.root(|root| {
+        if let Some(section) = root.table("admin") {
+            if !section.has("listen") {
+                section.fault("listen", "is missing");
+            }
+            operator.admin = section.parsed("listen");
+            section.end();
+        }
+        if let Some(section) = root.table("etcd") {
+            operator.etcd = etcd::read(&section, site);
+            section.end();
+        }
         if let Some(section) = root.table("thrift") {
             thrift::read(&section, site, &mut operator);
             section.end();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! threads, and on loopback only. Checks read what these peers saw, never what the node says of itself.
 #![forbid(unsafe_code)]
 
+pub mod etcd;
 pub mod ledger;
 pub mod peers;
 pub mod random;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, load, thrift};
+use rig::scenario::{self, demo, etcd, load, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -41,6 +41,16 @@
         #[arg(long, default_value_t = 240)]
         rate: u64,
     },
+    /// Steady load while etcd compacts, restarts, stalls and drains backends
+    Etcd {
+        #[arg(long)]
+        seed: u64,
+        /// forget-compacted: what was compacted away is never told; empty-on-silence: a stall tells that all is gone
+        #[arg(long)]
+        plant: Option<EtcdPlant>,
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
     /// The node's processor time for Thrift calls and HTTP calls of the same body
     Load {
         /// Calls of each kind
@@ -68,6 +78,11 @@
         #[arg(long)]
         listen: SocketAddr,
     },
+    /// An etcd: any client may Put and Watch
+    Etcd {
+        #[arg(long)]
+        listen: SocketAddr,
+    },
 }
 
 #[derive(Subcommand)]
@@ -93,6 +108,12 @@
     DoubleSend,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum EtcdPlant {
+    ForgetCompacted,
+    EmptyOnSilence,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Wording {
     Binary,
@@ -110,7 +131,11 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if matches!(arguments.what, What::Demo { .. } | What::Thrift { .. } | What::Load { .. }) && !build() {
+    if matches!(
+        arguments.what,
+        What::Demo { .. } | What::Thrift { .. } | What::Etcd { .. } | What::Load { .. }
+    ) && !build()
+    {
         eprintln!("the node could not be built");
         return ExitCode::FAILURE;
     }
@@ -126,6 +151,11 @@
             let double_send = matches!(plant, Some(Plant::DoubleSend));
             thrift::run(&thrift::Options { seed, seconds, rate, double_send })
         }
+        What::Etcd { seed, plant, seconds } => {
+            let forgets = matches!(plant, Some(EtcdPlant::ForgetCompacted));
+            let empties = matches!(plant, Some(EtcdPlant::EmptyOnSilence));
+            etcd::run(&etcd::Options { seed, seconds, forgets, empties })
+        }
         What::Load { calls } => load::run(calls),
         What::Call { protocol: CallBy::Thrift { encoding, to, method, station, key } } => {
             match Caller::try_connect(to, encoding.into()) {
@@ -140,6 +170,13 @@
                 }
             }
         }
+        What::Serve { stand_in: StandIn::Etcd { listen } } => {
+            let etcd = rig::etcd::Etcd::start_with(listen, None);
+            println!("an etcd listens on {}", etcd.address);
+            loop {
+                std::thread::park();
+            }
+        }
         What::Serve { stand_in: StandIn::Thrift { encoding, listen } } => {
             let tally = load::serve(encoding.into(), listen);
             println!("a tally box listens on {}", tally.address);
--- a/crates/rig/src/peers.rs
+++ b/crates/rig/src/peers.rs
@@ -249,6 +249,8 @@
     pub address: SocketAddr,
     /// Where it listens for Thrift, if its operator file says so.
     pub thrift: Option<SocketAddr>,
+    /// And for operators.
+    pub admin: Option<SocketAddr>,
     log: Arc<Mutex<Vec<String>>>,
     _unread: Option<UnixStream>,
 }
@@ -296,29 +298,37 @@
 impl Node {
     pub fn start(config: &str, shell: &str) -> Self {
         let (command, path) = command(config, shell);
-        Node::run(command, path, false)
+        Node::run(command, path, "")
     }
 
     /// A node with an operator file that has a Thrift listener or not.
     pub fn start_with(config: &str, operator: &str) -> Self {
         let (mut command, path) = command(config, "");
         command.arg("--operator").arg(file("operator.toml", operator));
-        Node::run(command, path, operator.contains("listen"))
+        Node::run(command, path, operator)
     }
 
-    fn run(mut command: Command, path: PathBuf, thrift: bool) -> Self {
+    fn run(mut command: Command, path: PathBuf, operator: &str) -> Self {
         let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
-        let mut address = || {
-            let line = lines.next().expect("a line that says where it listens");
-            let address = line.rsplit(' ').next().and_then(|address| address.parse().ok());
-            address.unwrap_or_else(|| panic!("no address: {line}"))
+        let mut address = |what: &str| {
+            loop {
+                // Other lines may come between; an error in its place is the last.
+                let line = lines.next().unwrap_or_else(|| panic!("no line with {what:?}"));
+                if let Some((_, address)) = line.split_once(what) {
+                    return address.parse().unwrap_or_else(|_| panic!("no address: {line}"));
+                }
+                assert!(!line.contains("cannot"), "{line}");
+            }
         };
-        let (address, thrift) = (address(), thrift.then(&mut address));
+        let address_of_http = address("listens on ");
+        let thrift = operator.contains("[thrift]\nlisten").then(|| address("listens for Thrift on "));
+        let admin = operator.contains("[admin]").then(|| address("listens for operators on "));
+        let address = address_of_http;
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Node { child, path, address, thrift, log, _unread: None }
+        Node { child, path, address, thrift, admin, log, _unread: None }
     }
 
     /// A node whose log nobody reads, and nothing more of it can be written.
@@ -332,7 +342,15 @@
         let (mut command, path) = command(&config.replace("127.0.0.1:0", &free.to_string()), "");
         let child = command.stderr(OwnedFd::from(full)).spawn().expect("the node starts");
         until(|| TcpStream::connect(free).is_ok(), "a node that listens");
-        Node { child, path, address: free, thrift: None, log: Arc::default(), _unread: Some(read) }
+        Node {
+            child,
+            path,
+            address: free,
+            thrift: None,
+            admin: None,
+            log: Arc::default(),
+            _unread: Some(read),
+        }
     }
 
     pub fn client(&self) -> Client {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Whole scenarios: figures as `name value` lines, and a last line that says whether every check held.
 
 pub mod demo;
+pub mod etcd;
 pub mod load;
 pub mod thrift;
 
@@ -14,11 +15,18 @@
 }
 
 /// All scenarios that take a seed.
-pub const ALL: [Listed; 1] = [Listed {
-    name: "thrift",
-    what: "callers of both encodings against tally boxes that are killed and restarted",
-    plants: &["double-send"],
-}];
+pub const ALL: [Listed; 2] = [
+    Listed {
+        name: "thrift",
+        what: "callers of both encodings against tally boxes that are killed and restarted",
+        plants: &["double-send"],
+    },
+    Listed {
+        name: "etcd",
+        what: "steady load while etcd compacts, restarts, stalls and drains backends",
+        plants: &["forget-compacted", "empty-on-silence"],
+    },
+];
 
 /// Prints a figure.
 pub fn figure(name: &str, value: impl Display) {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -272,7 +272,10 @@
         };
         let mut backends = Vec::new();
         for line in list.endpoints {
-            match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| self.read(line)) {
+            match serde_json::from_value(line)
+                .map_err(|e| e.to_string())
+                .and_then(|line| read(&self.site, line))
+            {
                 Ok(backend) => backends.push(backend),
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
@@ -285,34 +288,42 @@
         self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
     }
 
-    fn read(&self, line: Line) -> Result<Backend, String> {
-        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        let zone = if line.zone.is_empty() { Some(0) } else { place(&self.site.zone_names, &line.zone) };
-        let zone = zone.and_then(|zone| u8::try_from(zone).ok());
-        // A new kind of machine serves like any other, but the zone decides where repeats may go.
-        let kind = place(&self.site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
-        let state = match line.status {
-            Status::InService => ServerState::Ready,
-            Status::Terminating => ServerState::Draining,
-            Status::Terminated => ServerState::Gone,
-        };
-        let entry = ServerEntry {
-            id: number(&line.name),
-            zone: zone.ok_or_else(|| format!("{}: unknown zone {}", line.name, line.zone))?,
-            kind: kind.unwrap_or(u8::MAX),
-            cell: line.group,
-            state,
-            weight: line.weight,
-            started: (line.since_ms > 0.0).then(|| millis(line.since_ms)),
-        };
-        Ok(Backend { entry, address: line.address })
-    }
-
     async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
         let _ = self.messages.send(Message::List(News { kind, backends })).await; // or the node has ended
     }
 }
 
+/// Reads a line of the list by itself, in discovery's entry form.
+///
+/// # Errors
+/// The text is no such line, or names a zone that the settings don't know.
+pub fn read_entry(site: &Site, text: &[u8]) -> Result<Backend, String> {
+    serde_json::from_slice(text).map_err(|e| e.to_string()).and_then(|line| read(site, line))
+}
+
+fn read(site: &Site, line: Line) -> Result<Backend, String> {
+    let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+    let zone = if line.zone.is_empty() { Some(0) } else { place(&site.zone_names, &line.zone) };
+    let zone = zone.and_then(|zone| u8::try_from(zone).ok());
+    // A new kind of machine serves like any other, but the zone decides where repeats may go.
+    let kind = place(&site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
+    let state = match line.status {
+        Status::InService => ServerState::Ready,
+        Status::Terminating => ServerState::Draining,
+        Status::Terminated => ServerState::Gone,
+    };
+    let entry = ServerEntry {
+        id: number(&line.name),
+        zone: zone.ok_or_else(|| format!("{}: unknown zone {}", line.name, line.zone))?,
+        kind: kind.unwrap_or(u8::MAX),
+        cell: line.group,
+        state,
+        weight: line.weight,
+        started: (line.since_ms > 0.0).then(|| millis(line.since_ms)),
+    };
+    Ok(Backend { entry, address: line.address })
+}
+
 /// The next address that discovery moves to.
 async fn next(moved: &mut watch::Receiver<SocketAddr>) -> SocketAddr {
     match moved.changed().await {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,18 @@
 //! This file reads the configuration, starts the parts and sees to signals.
 #![forbid(unsafe_code)]
 
+mod pages;
+
 use clap::{Parser, Subcommand};
 use hillpick::settings::Site;
+use sillward_admin::Admin;
 use sillward_config::Config;
 use sillward_core::{Backends, Budget, Dispatch, Intake, Node, Reports};
+use sillward_etcd::Etcd;
+use sillward_hub::Hub;
 use sillward_listener::Door;
 use sillward_log::log;
+use sillward_membership::Membership;
 use sillward_operator::Operator;
 use sillward_pool::{Pool, Sockets, Terms};
 use sillward_roster::Discovery;
@@ -16,14 +22,18 @@
 use sillward_seam::signal::{Signal, SignalKind, signal};
 use sillward_seam::task::{block_on, spawn_local};
 use sillward_thrift::BackendTerms;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
+/// Operators at once.
+const ADMIN_CLIENTS: usize = 4;
 
 /// A load-balancing node.
 ///
@@ -118,8 +128,26 @@
     let budget = Budget::new(config.body_bytes);
     let backends = backends(clock, &config, operator.thrift_backends, &budget);
     let known = config.known.clone();
-    let discovery = Discovery::new(config.discovery, site.clone(), known, config.seed, messages.clone());
+    // Without a further source the roster tells the node itself.
+    let (roster, told) = match &operator.etcd {
+        Some(_) => mpsc::channel(16),
+        None => (messages.clone(), mpsc::channel(1).1),
+    };
+    let discovery = Discovery::new(config.discovery, site.clone(), known, config.seed, roster);
     let ready = discovery.ready();
+    let sources = match operator.etcd {
+        Some((terms, guard)) => {
+            let sources = [("roster", None), ("etcd", Some(guard))];
+            let membership = Rc::new(RefCell::new(Membership::new(&sources)));
+            let (tellings, heard) = mpsc::channel(16);
+            let etcd = Etcd::new(terms, site.clone(), config.seed, tellings);
+            let hub = Hub::new(clock, membership.clone(), messages.clone(), ready.clone());
+            spawn_local(hub.run(told, heard));
+            spawn_local(etcd.run());
+            Some(membership)
+        }
+        None => None,
+    };
     let node = Node::new(clock, settings.clone(), config.seed, backends, messages.clone(), orders);
     let intake = Intake::new(clock, messages);
     let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
@@ -140,16 +168,34 @@
         let door = Door::new(thrift_connections, longest);
         let seed = config.seed;
         let front = sillward_thrift::Front::new(intake, site.clone(), terms, door.clone(), budget, seed);
-        door.run(front.clone(), listener, told(stopped.clone())).await;
+        door.run(front.clone(), listener, told_to_stop(stopped.clone())).await;
         log(format_args!("{} oneway calls were taken", front.oneway_calls()));
         Ok(())
     };
+    let admin = async {
+        let Some(address) = operator.admin else { return Ok(()) };
+        let listener = bind(address).await?;
+        let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+        log(format_args!("{} listens for operators on {address}", config.name));
+        let door = Door::new(ADMIN_CLIENTS, Duration::from_secs(1));
+        let page = |text: fn(Clock, &Rc<RefCell<Membership>>) -> String| -> sillward_admin::Page {
+            let sources = sources.clone();
+            Box::new(move || sources.as_ref().map_or_else(|| "{}".to_owned(), |m| text(clock, m)))
+        };
+        let pages = vec![
+            ("/admin/membership", page(pages::membership)),
+            ("/admin/membership/sources", page(pages::sources)),
+        ];
+        let front = Admin::new(door.clone(), pages);
+        door.run(front, listener, told_to_stop(stopped.clone())).await;
+        Ok(())
+    };
     let fronts = async {
         let http = async {
-            door.run(front, listener, told(stopped.clone())).await;
+            door.run(front, listener, told_to_stop(stopped.clone())).await;
             Ok(())
         };
-        tokio::try_join!(http, thrift).map(drop)
+        tokio::try_join!(http, thrift, admin).map(drop)
     };
     let signals = async {
         tokio::select! {
@@ -172,7 +218,7 @@
 }
 
 /// Waits until the node is told to stop.
-async fn told(mut stopped: watch::Receiver<bool>) {
+async fn told_to_stop(mut stopped: watch::Receiver<bool>) {
     let _ = stopped.wait_for(|stopped| *stopped).await;
 }
 
