--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -40,8 +40,13 @@
 pub enum Answer {
     /// A backend's answer, as it came.
     Served(Content),
-    /// It never ran, so to try again is harmless; perhaps after that time.
-    Refused(Option<Duration>),
+    /// To try again is harmless, perhaps after that time: it never ran, or its class may be repeated as it is.
+    Refused {
+        /// After this time, where the settings allow to say so.
+        after: Option<Duration>,
+        /// It is known never to have run. Otherwise it may have.
+        never_ran: bool,
+    },
     /// It has failed, with no promise.
     Failed,
     /// It has failed at its deadline, with no promise.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -219,7 +219,10 @@
     fn act(&mut self, action: Action) -> Option<Event> {
         match action {
             Action::Send { id, server, timeout } => return self.send(id, server, timeout),
-            Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused(retry_after)),
+            Action::Refuse { id, retry_after } => {
+                let never_ran = self.held.get(&id).is_none_or(|held| held.call.out.get() == 0);
+                self.finish(id, Answer::Refused { after: retry_after, never_ran });
+            }
             Action::Fail { id } => self.finish(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.stop(id, attempt, Stop::Cancelled),
             Action::SetTimer { after, token } => self.set(self.clock.now() + after, Due::Module(token)),
--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -43,8 +43,8 @@
         let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
         (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
-        (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
-        node.in_time[..2].fill(0.75);
+        (node.in_time, node.tried) = (vec![0.75; LEVELS], 1);
+        (node.taken, node.retry_tokens) = (2.0, 1.0 / RETRY_SHARE);
         node
     }
 
@@ -84,20 +84,40 @@
     /// Rule 2: what may have run is sent again only as its class allows.
     fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
+        self.may_follow(server, request, &first.to, first.sent)
+    }
+
+    /// Whether what may have run at one server, sent there then, may go to another.
+    fn may_follow(&self, server: &Server, request: &Request, to: &ServerEntry, sent: Duration) -> bool {
         match self.settings.classes[request.class].repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
             Repeat::Keyed { scope, window } => {
                 let together = match scope {
                     Scope::All => true,
-                    Scope::Zone => first.to.zone == server.entry.zone,
-                    Scope::Cell => first.to.cell == server.entry.cell,
+                    Scope::Zone => to.zone == server.entry.zone,
+                    Scope::Cell => to.cell == server.entry.cell,
                 };
-                together && self.now < first.sent + window
+                together && self.now < sent + window
             }
         }
     }
 
+    /// Whether a request that goes to a server now has somewhere to go after it. If not, an attempt that is
+    /// silent for long is waited for: called off, it would be lost, and nothing gained.
+    fn elsewhere(&self, server: &Server, request: &Request) -> bool {
+        let first = request.attempts.iter().find(|a| a.may_have_run());
+        let (to, sent) = first.map_or((&server.entry, self.now), |a| (&a.to, a.sent));
+        let follows = |s: &Server| {
+            s.entry.id != server.entry.id
+                && s.ejected.is_none()
+                && self.permitted(s, request)
+                && self.may_follow(s, request, to, sent)
+        };
+        let room = request.attempts.len() + 1 < self.settings.limits.max_attempts as usize;
+        room && self.ring().filter_map(|id| self.servers.get(&id)).take(self.enough()).any(follows)
+    }
+
     /// The share of its capacity that a server has for certain.
     fn warmth(&self, server: &Server) -> f64 {
         let rules = &self.settings.rules;
@@ -162,13 +182,25 @@
     /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
     /// decides where it does not look crowded, since many nodes together may crowd it all the same.
     fn fits(&self, server: &Server, request: &Request, luck: f64) -> bool {
-        let level = self.crowd(server).round() as usize;
-        let chance = luck.powf(request.value);
-        let open = chance <= self.taken && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
+        let (level, chance) = (self.level(server), luck.powf(request.value));
+        let open = level == 0 || level <= self.tried && self.in_time[level] >= 0.75;
+        let open = open && chance <= self.taken;
         // A few are tried in any case, or else nothing would tell of better times.
         open || server.out == 0 && chance < SMOOTH / 2.0
     }
 
+    fn level(&self, server: &Server) -> usize {
+        (self.crowd(server).round() as usize).min(LEVELS - 1)
+    }
+
+    /// Whether nothing tells yet if a server so crowded answers in time: nothing was late there or at less, and
+    /// nothing came back from near it. A node that starts into an overload would fill everybody up by sending, and
+    /// one that starts beside a quick server would turn away what fits: it waits for the first answers.
+    fn untried(&self, server: &Server) -> bool {
+        let level = self.level(server);
+        level > self.tried && self.in_time[level] >= 0.75
+    }
+
     // ---- The pick ---------------------------------------------------------------------------
 
     /// Join-Up-To(m): the lowest estimate strictly below m, ties at random.
@@ -225,6 +257,7 @@
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let (luck, draw) = (self.random(), self.random());
         self.draw_tickets();
+        self.waits(id, false);
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
         let permitted =
             self.ring().filter_map(|id| self.servers.get(&id)).filter(|s| self.permitted(s, request));
@@ -235,8 +268,7 @@
         }
         if permitted.is_empty() {
             // Nobody is listed, or only cold servers without a ticket: hold it a while.
-            let after = Duration::from_secs_f64(self.answer_time / 8.0).max(self.settings.tick);
-            return actions.push(Action::SetTimer { after, token: id.0 });
+            return self.wait(id, actions);
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
         // seldom one that can't be sent again: else trials take most of a quiet node's requests.
@@ -246,8 +278,12 @@
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
         let sound: Vec<_> = permitted.iter().copied().filter(|s| s.ejected.is_none()).collect();
         let healthy = [due, sound, permitted].into_iter().find(|some| !some.is_empty()).unwrap_or_default();
-        let fits = healthy.iter().copied().filter(|s| self.fits(s, request, luck));
-        let fitting = self.uncrowded(fits.collect());
+        let fits: Vec<_> = healthy.iter().copied().filter(|s| self.fits(s, request, luck)).collect();
+        let (open, unknown) = (!fits.is_empty(), healthy.iter().any(|s| self.untried(s)));
+        if !open && unknown && !again && self.waiting < LEVELS {
+            return self.wait(id, actions);
+        }
+        let fitting = self.uncrowded(fits);
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
         let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
@@ -262,6 +298,19 @@
         }
     }
 
+    /// Holds a request a while.
+    fn wait(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let after = Duration::from_secs_f64(self.answer_time / 8.0).max(self.settings.tick);
+        self.waits(id, true);
+        actions.push(Action::SetTimer { after, token: id.0 });
+    }
+
+    fn waits(&mut self, id: RequestId, now: bool) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let before = std::mem::replace(&mut request.waits, now);
+        self.waiting = self.waiting + usize::from(now) - usize::from(before);
+    }
+
     /// One attempt at a time, or a second one where that is allowed and the first has been silent for long.
     fn may_go(&self, request: &Request) -> bool {
         let Some(last) = request.attempts.iter().rfind(|a| a.outcome.is_none()) else { return true };
@@ -287,15 +336,15 @@
         }
         // Time is kept for one more attempt where there may be one: the server may stay silent.
         let (left, patience) = (request.until - now, self.patience_with(request));
-        let more = self.settings.classes[request.class].repeat != Repeat::Unsafe
-            && left > patience * 5 / 4
-            && self.retry_tokens >= if again { 2.0 } else { 1.0 };
+        let more = left > patience * 5 / 4
+            && self.retry_tokens >= if again { 2.0 } else { 1.0 }
+            && self.elsewhere(server, request);
         let hedged = self.settings.limits.parallel_attempts;
         let timeout = if more && !hedged { patience } else { left };
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
-        let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
+        let crowd = self.level(server);
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
         self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
         self.servers.entry(to).and_modify(|s| {
@@ -363,6 +412,8 @@
                 let next = &mut self.in_time[(crowd + 1).min(LEVELS - 1)];
                 *next += (1.0 - *next) * SMOOTH / 2.0;
                 self.taken = (self.taken + SMOOTH * 2.0 / 7.0).min(2.0);
+                // Where one was in time, twice as many may be tried.
+                self.tried = self.tried.max(2 * crowd + 2);
             }
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
                 if crowd > 0 {
@@ -429,6 +480,7 @@
     /// Nothing more is sent for a request. What is out is called off, and it is kept until that has ended.
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         self.held.retain(|held| *held != id);
+        self.waits(id, false);
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.done && self.settings.limits.cancel && !request.streaming {
             let out = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -56,6 +56,8 @@
     pub attempts: Vec<Attempt>,
     /// It has had its probes, or must do without.
     pub probed: bool,
+    /// It is held a while: for a server, or for news of how much fits.
+    pub waits: bool,
     pub streaming: bool,
     pub done: bool,
 }
@@ -128,6 +130,10 @@
     /// of requests that servers not crowded at all are sent, steady at seven in eight in time; beyond 1 it is
     /// a reserve for chance misses.
     pub(crate) in_time: Vec<f64>,
+    /// No server was ever seen in time at nearly as crowded as beyond this.
+    pub(crate) tried: usize,
+    /// Requests that are held a while.
+    pub(crate) waiting: usize,
     pub(crate) taken: f64,
     pub(crate) probe_tokens: f64,
     pub(crate) retry_tokens: f64,
@@ -165,6 +171,8 @@
             idle_signs: Default::default(),
             busy: Default::default(),
             in_time: Default::default(),
+            tried: Default::default(),
+            waiting: Default::default(),
             taken: Default::default(),
             probe_tokens: Default::default(),
             retry_tokens: Default::default(),
--- a/crates/hillpick/tests/decisions.rs
+++ b/crates/hillpick/tests/decisions.rs
@@ -483,6 +483,86 @@
     assert!(world.out().len() <= 4 * 2, "{} out at four silent servers", world.out().len());
 }
 
+#[test]
+fn a_short_list_of_quick_servers_is_not_refused_for_want_of_news() {
+    // The danger: a node learns one level of crowding after the other, and refuses all that goes beyond meanwhile.
+    for servers in [1, 2] {
+        let mut world = World::with_servers(answering(), servers);
+        let mut refusals = 0;
+        for _ in 0..400 {
+            while world.open().len() < 12 {
+                refusals += usize::from(refused(&world.request(1).1));
+            }
+            world.pass(ms(5));
+            let due: Vec<_> = world.out().into_iter().filter(|(id, _)| world.age(*id) >= ms(10)).collect();
+            due.into_iter().for_each(|(id, attempt)| drop(world.end(id, attempt, Outcome::Served, None)));
+        }
+        let refused = world.log.iter().filter(|action| matches!(action, Action::Refuse { .. })).count();
+        assert_eq!((refusals, refused), (0, 0), "a list of {servers}");
+        assert!(world.log.iter().filter(|action| matches!(action, Action::Send { .. })).count() > 1500);
+    }
+}
+
+#[test]
+fn what_is_held_for_want_of_news_is_bounded_and_refused_once_a_server_is_late() {
+    let mut world = World::with_servers(answering(), 1);
+    let taken: Vec<_> = (0..100).map(|_| world.request(1)).collect();
+    let at_once = taken.iter().filter(|(_, actions)| refused(actions)).count();
+    assert_eq!((world.out().len(), at_once), (2, 100 - 2 - 64), "two are out, 64 are held");
+    // All of it comes in time for the next, and is late for the aim: no more room, and that is said at once.
+    world.pass(ms(390));
+    for (id, attempt) in world.out() {
+        world.end(id, attempt, Outcome::Served, None);
+    }
+    world.pass(ms(50));
+    assert!(world.open().is_empty(), "{} are still held", world.open().len());
+}
+
+#[test]
+fn an_attempt_is_called_off_for_silence_only_with_somewhere_else_to_go() {
+    let time_out = |world: &mut World, class: usize| {
+        let (_, actions) = world.request(class);
+        actions.iter().find_map(|action| match action {
+            Action::Send { timeout, .. } => Some(*timeout),
+            _ => None,
+        })
+    };
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    settings.limits.max_attempts = 2;
+    let learned = |servers: u64, settings: &Settings| {
+        let mut world = World::with_servers(settings.clone(), servers);
+        play(&mut world, 100, |_| Outcome::Served);
+        world
+    };
+    let patience = ms(200);
+    // Safe work beside another server, keyed work beside one of its group (servers 0 and 3 are in one zone).
+    assert!(time_out(&mut learned(2, &settings), 0).expect("sent") < patience);
+    assert!(time_out(&mut learned(1, &settings), 0).expect("sent") > patience, "a list of one");
+    assert!(time_out(&mut learned(3, &settings), 2).expect("sent") > patience, "alone in its zone");
+    assert!(time_out(&mut learned(6, &settings), 2).expect("sent") < patience);
+    assert!(time_out(&mut learned(6, &settings), 1).expect("sent") > patience, "may not run twice");
+    settings.limits.max_attempts = 1;
+    assert!(time_out(&mut learned(6, &settings), 0).expect("sent") > patience, "its only attempt");
+    // Beside a server that is out of reach.
+    settings.limits.max_attempts = 2;
+    let mut world = World::with_servers(settings.clone(), 2);
+    let ends = |server| if server == 0 { Outcome::ConnectFailed } else { Outcome::Served };
+    play(&mut world, 100, ends);
+    let spared = (0..20).filter_map(|_| {
+        let time_out = time_out(&mut world, 0);
+        for (id, attempt) in world.out() {
+            let outcome = ends(world.server_of(id, attempt).0);
+            world.end(id, attempt, outcome, None);
+        }
+        time_out
+    });
+    assert!(
+        spared.filter(|time_out| *time_out > patience).count() >= 18,
+        "an ejected server is no place to go"
+    );
+}
+
 #[test]
 fn answers_with_nothing_to_spare_close_a_crowding_level() {
     // The danger: servers choke while nearly all answers are still in time.
@@ -564,6 +644,8 @@
     for (id, attempt) in world.out() {
         world.end(id, attempt, Outcome::TimedOut, None);
     }
+    // Those that were held for want of news have their timers.
+    world.pass(ms(5));
     assert!(ids.iter().all(|id| world.answered(*id)));
     let mut met: Vec<u64> = (0..6).flat_map(|_| sent_to(&world.request(1).1)).collect();
     met.sort();
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -124,7 +124,7 @@
         };
         Ok(match answer {
             Answer::Served(content) => plain(StatusCode::OK, content.bytes),
-            Answer::Refused(after) => refusal(after),
+            Answer::Refused { after, .. } => refusal(after),
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
             Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
         })
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, etcd, load, thrift};
+use rig::scenario::{self, demo, etcd, few, load, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -51,6 +51,32 @@
         #[arg(long, default_value_t = 20)]
         seconds: u64,
     },
+    /// A dozen callers at one or two healthy boxes: nothing may be refused, nothing sent twice
+    Few {
+        #[arg(long)]
+        seed: u64,
+        /// turn-away: a box turns some calls away; late: a box answers some after their budget
+        #[arg(long)]
+        plant: Option<FewPlant>,
+        #[arg(long, default_value_t = 1)]
+        boxes: usize,
+        #[arg(long, default_value_t = 12)]
+        callers: usize,
+        /// Calls of each caller
+        #[arg(long, default_value_t = 300)]
+        calls: usize,
+        /// A box answers within so many milliseconds
+        #[arg(long, default_value_t = 8)]
+        most_ms: u64,
+        /// But one call in fifty within so many
+        #[arg(long, default_value_t = 200)]
+        tail_ms: u64,
+        #[arg(long, default_value_t = 1500)]
+        budget_ms: u64,
+        /// Second attempts beside a silent first one are allowed
+        #[arg(long)]
+        parallel: bool,
+    },
     /// The node's processor time for Thrift calls and HTTP calls of the same body
     Load {
         /// Calls of each kind
@@ -108,6 +134,12 @@
     DoubleSend,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum FewPlant {
+    TurnAway,
+    Late,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum EtcdPlant {
     ForgetCompacted,
@@ -133,7 +165,7 @@
     let arguments = Arguments::parse();
     if matches!(
         arguments.what,
-        What::Demo { .. } | What::Thrift { .. } | What::Etcd { .. } | What::Load { .. }
+        What::Demo { .. } | What::Thrift { .. } | What::Etcd { .. } | What::Few { .. } | What::Load { .. }
     ) && !build()
     {
         eprintln!("the node could not be built");
@@ -156,6 +188,23 @@
             let empties = matches!(plant, Some(EtcdPlant::EmptyOnSilence));
             etcd::run(&etcd::Options { seed, seconds, forgets, empties })
         }
+        What::Few { seed, plant, boxes, callers, calls, most_ms, tail_ms, budget_ms, parallel } => {
+            let turn_away = matches!(plant, Some(FewPlant::TurnAway));
+            let late = matches!(plant, Some(FewPlant::Late));
+            let options = few::Options {
+                seed,
+                boxes,
+                callers,
+                calls,
+                most_ms,
+                tail_ms,
+                budget_ms,
+                parallel,
+                turn_away,
+                late,
+            };
+            few::run(&options)
+        }
         What::Load { calls } => load::run(calls),
         What::Call { protocol: CallBy::Thrift { encoding, to, method, station, key } } => {
             match Caller::try_connect(to, encoding.into()) {
--- a/crates/rig/src/scenario/demo.rs
+++ b/crates/rig/src/scenario/demo.rs
@@ -311,7 +311,8 @@
         let (class, repeat) = kind_of(&mut random);
         ledger.begins(&sheet, repeat);
         let arguments = [origin("1f", &sheet, 1000), (2, Value::from(&*sheet))];
-        let frame = caller.frame(&format!("Tally:{class}"), &arguments);
+        let method = format!("Tally:{class}");
+        let frame = caller.frame(&method, &arguments);
         let begun = Instant::now();
         let answer = caller.write(&frame).and_then(|()| caller.answer());
         let Ok(Some(answer)) = answer else {
@@ -319,7 +320,7 @@
             continue; // without an answer: the ledger knows
         };
         let late = begun.elapsed().saturating_sub(Duration::from_secs(1));
-        ledger.ends(&sheet, answer.end(), late, caller.is_last(&answer));
+        ledger.ends(&sheet, answer.end(), late, caller.is_last(&answer, &method));
         let end = answer.end();
         count(board, "thrift", end, answer.text);
     }
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -3,6 +3,7 @@
 //! A frame runs only once it is whole. So an attempt whose frame the kernel has not taken to its last byte has
 //! never run, and one whose frame it has may have run, whatever becomes of the connection.
 
+use crate::names;
 use crate::terms::{BackendTerms, TurnedAway};
 use crate::wire::{
     BinaryReader, BinaryWriter, CompactReader, CompactWriter, Encoding, FrameReader, Head, Kind, Message,
@@ -103,11 +104,6 @@
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
         let (call, clock) = (&attempt.call, self.pool.clock);
-        // Room for what is written, which is of about the call's size.
-        let Some(_room) = self.budget.lease(call.content.bytes.len()) else {
-            log_peer("no room for a call's frame: not sent");
-            return (Outcome::NotSent, None, None);
-        };
         for _ in 0..BROKEN_IN_A_ROW {
             let connection = match self.pool.take(attempt.server).await {
                 Ok(connection) => connection,
@@ -122,6 +118,11 @@
                 self.pool.put(connection);
                 return (Outcome::NotSent, None, None);
             };
+            let Some(_room) = self.budget.lease(frame.capacity()) else {
+                log_peer("no room for a call's frame: not sent");
+                self.pool.put(connection);
+                return (Outcome::NotSent, None, None);
+            };
             let drained = self.pool.address(attempt.server).is_none();
             if drained || !call.claim(clock.now(), attempt.until) {
                 self.pool.put(connection);
@@ -206,7 +207,7 @@
                     writer.out
                 }
             };
-            return (out.len() <= bounds.frame + 4).then(|| frame(out));
+            return (out.len() <= bounds.written() + 4).then(|| frame(out));
         }
         let message = read_head(&call.content.bytes, bounds).ok()?;
         reword(&message, encoding, Head { seqid, ..message.head }, bounds).ok()
@@ -235,7 +236,7 @@
     /// What a reply says; `None` if it is none to this call.
     fn read(&self, body: &Bytes, name: &str, seqid: i32, call: &Call) -> Option<Exchanged> {
         let message = read_head(body, &self.terms.bounds).ok()?;
-        if message.head.seqid != seqid || message.head.name != name {
+        if message.head.seqid != seqid || !names::answers(message.head.name, name) {
             return None;
         }
         match message.head.kind {
@@ -331,7 +332,8 @@
     /// The report in a probe's reply; `None` if it is no reply to it.
     fn probe_report(&self, body: &[u8], name: &str, seqid: i32) -> Option<Option<LoadReport>> {
         let message = read_head(body, &self.terms.bounds).ok()?;
-        if message.head != (Head { kind: Kind::Reply, name, seqid }) {
+        let Head { kind, name: answered, seqid: to } = message.head;
+        if kind != Kind::Reply || to != seqid || !names::answers(answered, name) {
             return None;
         }
         let paths = [self.terms.load_report.as_ref()];
@@ -371,6 +373,9 @@
 /// Whether a body is a reply to that call, as a backend of another protocol brought it.
 pub fn is_reply(body: &[u8], to: &Message<'_>, bounds: &crate::wire::Bounds) -> bool {
     let Ok(message) = read_head(body, bounds) else { return false };
-    let head = Head { kind: Kind::Reply, ..to.head };
-    message.head == head && reword(&message, message.encoding, head, bounds).is_ok()
+    let Head { kind, name, seqid } = message.head;
+    kind == Kind::Reply
+        && seqid == to.head.seqid
+        && names::answers(name, to.head.name)
+        && reword(&message, message.encoding, message.head, bounds).is_ok()
 }
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -1,6 +1,7 @@
 //! What a caller's message must be to be taken, and how it is answered: without I/O.
 
 use crate::backend::is_reply;
+use crate::names;
 use crate::terms::{FrontTerms, Method};
 use crate::wire::{
     BinaryReader, CompactReader, Encoding, ExceptionKind, Fault, Head, Kind, Message, Reader, Scalar,
@@ -23,11 +24,18 @@
 /// Whose answer it is: how a caller knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Caller {
-    pub encoding: Encoding,
-    pub name: String,
+    encoding: Encoding,
+    name: String,
     pub seqid: i32,
 }
 
+impl Caller {
+    pub fn of(message: &Message<'_>) -> Self {
+        let Head { name, seqid, .. } = message.head;
+        Caller { encoding: message.encoding, name: names::told(name).to_owned(), seqid }
+    }
+}
+
 /// A message that can be taken.
 pub struct Checked {
     pub new: NewRequest,
@@ -61,9 +69,11 @@
 }
 
 fn turned(message: &Message<'_>, kind: ExceptionKind, text: &str) -> Turned {
-    let Head { name, seqid, .. } = message.head;
     let answered = message.head.kind != Kind::Oneway;
-    let frame = answered.then(|| exception(message.encoding, name, seqid, kind, text, None));
+    let frame = answered.then(|| {
+        let Caller { encoding, name, seqid } = Caller::of(message);
+        exception(encoding, &name, seqid, kind, text, None)
+    });
     Turned { frame, last: false }
 }
 
@@ -140,8 +150,7 @@
         remaining: budget,
         ..NewRequest::default()
     };
-    let caller =
-        Caller { encoding: message.encoding, name: message.head.name.to_owned(), seqid: message.head.seqid };
+    let caller = Caller::of(&message);
     let form = if message.encoding == Encoding::Compact { COMPACT } else { BINARY };
     let call = Call {
         class: method.class,
@@ -167,10 +176,7 @@
 }
 
 fn method<'a>(terms: &'a FrontTerms, name: &str) -> Option<&'a Method> {
-    let (service, name) = match name.split_once(':') {
-        Some((service, name)) => (Some(service), name),
-        None => (None, name),
-    };
+    let (service, name) = names::split(name);
     terms.methods.iter().find(|method| method.name == name && method.service.as_deref() == service)
 }
 
@@ -208,11 +214,13 @@
             reworded.unwrap_or_else(|_| failed())
         }
         Answer::Served(_) | Answer::Failed => failed(),
-        Answer::Refused(after) => {
+        Answer::Refused { after, never_ran } => {
             let ms = after.map(|after| i32::try_from(after.as_millis()).unwrap_or(i32::MAX));
+            let ran =
+                if never_ran { "it never ran" } else { "it may have run, and to repeat it is harmless" };
             let text = match ms {
-                Some(ms) => format!("refused: it never ran; try again in {ms} ms"),
-                None => "refused: it never ran".to_owned(),
+                Some(ms) => format!("refused: {ran}; try again in {ms} ms"),
+                None => format!("refused: {ran}"),
             };
             except(ExceptionKind::UnsupportedClientType, &text, ms)
         }
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -286,13 +286,10 @@
             NotWhole::NoRoom(begin) => match calls::head(&self.front.terms, begin) {
                 Ok(message) => {
                     log_peer("no room for a call's frame: refused");
-                    let caller = Caller {
-                        encoding: message.encoding,
-                        name: message.head.name.to_owned(),
-                        seqid: message.head.seqid,
-                    };
+                    let caller = Caller::of(&message);
                     let after = self.front.site.settings.limits.max_retry_after;
-                    (calls::worded(&self.front.terms, &caller, Answer::Refused(after)), false)
+                    let refused = Answer::Refused { after, never_ran: true };
+                    (calls::worded(&self.front.terms, &caller, refused), false)
                 }
                 Err(turned) => return self.turned(turned),
             },
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod calls;
 mod front;
+pub mod names;
 mod terms;
 pub mod wire;
 
--- a/crates/thrift/src/wire.rs
+++ b/crates/thrift/src/wire.rs
@@ -91,7 +91,7 @@
 /// What bounds a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// The most bytes of a frame, either way; what is written counts in its own encoding.
+    /// The most bytes of a message that is read, without its frame's length.
     pub frame: usize,
     /// The most levels of structs and containers within each other.
     pub depth: usize,
@@ -99,6 +99,14 @@
     pub name: usize,
 }
 
+impl Bounds {
+    /// The most bytes of a message that is written. A number of the node's own in the head may be longer than the
+    /// caller's, and what is compact grows in binary: what was taken for its size is not to fail for that.
+    pub fn written(&self) -> usize {
+        self.frame * 2
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds { frame: 64 * 1024, depth: 32, name: 256 }
--- a/crates/thrift/src/wire/copy.rs
+++ b/crates/thrift/src/wire/copy.rs
@@ -5,7 +5,7 @@
 /// Copies a value of that type. `depth` is how many levels it may have.
 ///
 /// # Errors
-/// The bytes are no such value, it has too many levels, or what is written is larger than a frame.
+/// The bytes are no such value, it has too many levels, or what is written is larger than `bounds` let a frame be.
 pub fn copy<'a, R: Reader<'a>, W: Writer>(
     from: &mut R,
     to: &mut W,
--- a/crates/thrift/src/wire/message.rs
+++ b/crates/thrift/src/wire/message.rs
@@ -158,7 +158,7 @@
 /// and stays compact, or was binary and stays so, goes on byte for byte.
 ///
 /// # Errors
-/// Its struct does not read, more stands behind it, or what comes out is larger than a frame may be.
+/// Its struct does not read, more stands behind it, or what comes out is larger than [`Bounds::written`].
 pub fn reword(
     message: &Message<'_>,
     to: Encoding,
@@ -172,7 +172,7 @@
         (message.encoding, to),
         (Encoding::Compact, Encoding::Compact) | (Encoding::Binary { .. }, Encoding::Binary { .. })
     );
-    let whole = Bounds { frame: bounds.frame + 4, ..*bounds };
+    let whole = Bounds { frame: bounds.written() + 4, ..*bounds };
     let behind = match (message.encoding, to) {
         _ if same => {
             out.extend_from_slice(message.body);
