--- a/crates/rig/src/etcd.rs
+++ b/crates/rig/src/etcd.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use prost::Message;
 use sillward_etcd::proto::*;
-use sillward_etcd::{Frames, framed};
+use sillward_etcd::{Frames, Grpc, Status, framed};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -596,6 +596,23 @@
     }
 }
 
+/// Puts a value into an etcd, this one or another, and returns the revision.
+///
+/// # Errors
+/// The call failed.
+pub fn put(to: SocketAddr, key: &str, value: &str) -> Result<i64, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let (key, value) = (Bytes::copy_from_slice(key.as_bytes()), Bytes::copy_from_slice(value.as_bytes()));
+    local.block_on(&runtime, async {
+        let failed = |status: Status| format!("{} (code {})", status.message, status.code);
+        let mut grpc = Grpc::connect(to).await.map_err(failed)?;
+        let put = PutRequest { key, value, lease: 0 };
+        let done: HeaderOnly = grpc.unary("/etcdserverpb.KV/Put", &put).await.map_err(failed)?;
+        Ok(done.header.map_or(0, |header| header.revision))
+    })
+}
+
 /// The operator file's part for it, with times that suit tests.
 pub fn operator(endpoints: &[SocketAddr], keep_alive_ms: u64, more: &str) -> String {
     let endpoints: Vec<String> = endpoints.iter().map(|address| format!("\"{address}\"")).collect();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod etcd;
 pub mod ledger;
+pub mod pages;
 pub mod peers;
 pub mod random;
 pub mod relay;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, etcd, few, load, thrift};
+use rig::scenario::{self, demo, etcd, few, load, pages, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -83,6 +83,19 @@
         #[arg(long, default_value_t = 48_000)]
         calls: usize,
     },
+    /// Runs every command of the README and of the pages for operators, as it stands
+    Pages {
+        /// These alone, by their paths from the repository's root
+        pages: Vec<String>,
+        /// stale: the first command of each page is misspelt
+        #[arg(long)]
+        plant: Option<PagesPlant>,
+    },
+    /// Puts a value
+    Put {
+        #[command(subcommand)]
+        into: PutInto,
+    },
     /// Makes one call, and shows its answer
     Call {
         #[command(subcommand)]
@@ -111,6 +124,17 @@
     },
 }
 
+#[derive(Subcommand)]
+enum PutInto {
+    /// Into an etcd
+    Etcd {
+        #[arg(long)]
+        to: SocketAddr,
+        key: String,
+        value: String,
+    },
+}
+
 #[derive(Subcommand)]
 enum CallBy {
     /// A method of the service Tally
@@ -134,6 +158,11 @@
     DoubleSend,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum PagesPlant {
+    Stale,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum FewPlant {
     TurnAway,
@@ -165,7 +194,12 @@
     let arguments = Arguments::parse();
     if matches!(
         arguments.what,
-        What::Demo { .. } | What::Thrift { .. } | What::Etcd { .. } | What::Few { .. } | What::Load { .. }
+        What::Demo { .. }
+            | What::Thrift { .. }
+            | What::Etcd { .. }
+            | What::Few { .. }
+            | What::Load { .. }
+            | What::Pages { .. }
     ) && !build()
     {
         eprintln!("the node could not be built");
@@ -206,6 +240,19 @@
             few::run(&options)
         }
         What::Load { calls } => load::run(calls),
+        What::Pages { pages, plant } => {
+            pages::run(&pages::Options { pages, stale: matches!(plant, Some(PagesPlant::Stale)) })
+        }
+        What::Put { into: PutInto::Etcd { to, key, value } } => match rig::etcd::put(to, &key, &value) {
+            Ok(revision) => {
+                println!("revision {revision}");
+                0
+            }
+            Err(e) => {
+                eprintln!("cannot put into {to}: {e}");
+                1
+            }
+        },
         What::Call { protocol: CallBy::Thrift { encoding, to, method, station, key } } => {
             match Caller::try_connect(to, encoding.into()) {
                 Ok(mut caller) => {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -4,6 +4,7 @@
 pub mod etcd;
 pub mod few;
 pub mod load;
+pub mod pages;
 pub mod thrift;
 
 use std::fmt::Display;
@@ -15,8 +16,8 @@
     pub plants: &'static [&'static str],
 }
 
-/// All scenarios that take a seed.
-pub const ALL: [Listed; 3] = [
+/// All scenarios with a verdict.
+pub const ALL: [Listed; 4] = [
     Listed {
         name: "thrift",
         what: "callers of both encodings against tally boxes that are killed and restarted",
@@ -32,6 +33,11 @@
         what: "a dozen callers at one or two healthy boxes: nothing refused, nothing sent twice",
         plants: &["turn-away", "late"],
     },
+    Listed {
+        name: "pages",
+        what: "every command of the README and of the pages for operators, run as it stands",
+        plants: &["stale"],
+    },
 ];
 
 /// Prints a figure.
