--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -193,9 +193,9 @@
         (self.crowd(server).round() as usize).min(LEVELS - 1)
     }
 
-    /// Whether nothing tells yet if a server so crowded answers in time: nothing was late there or at less, and
-    /// nothing came back from near it. A node that starts into an overload would fill everybody up by sending, and
-    /// one that starts beside a quick server would turn away what fits: it waits for the first answers.
+    /// Whether nothing tells yet if a server so crowded answers in time: nothing was late there or at less,
+    /// and nothing came back from near it. A node that starts into an overload would fill everybody up by
+    /// sending, and one beside a quick server would turn away what fits: it waits for the first answers.
     fn untried(&self, server: &Server) -> bool {
         let level = self.level(server);
         level > self.tried && self.in_time[level] >= 0.75
