The shipped node on a virtual clock and a simulated network, faults from a seed

Need: the worst nights (a rolling deploy, cold machines and a lagging roster at once) could not be played again. Nothing but the program itself shows what its code does in them.

Change: crates/simulation runs several nodes, as crates/assembly puts them together, in one thread on tokio's paused clock and a network of its own (partial reads and writes, resets at any byte, silence, refused and unheard dials, full accept queues, descriptors), against scripted boxes, roster agents, an etcd, HTTP and Thrift clients. A ledger checks the four rules at every entry, and the program's own invariants all night and at rest. rig night searches seeds, replays, explains and makes scripts smaller; six plants.

Tokio's watch wakes its receivers by lot, and so does an unbiased select!: neither is used where the order could show.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -6,7 +6,10 @@
 
 /// Bytes that may still be held.
 #[derive(Clone)]
-pub struct Budget(Arc<AtomicUsize>);
+pub struct Budget {
+    left: Arc<AtomicUsize>,
+    whole: usize,
+}
 
 /// A part of the budget, which goes back when it is dropped.
 pub struct Lease {
@@ -16,17 +19,18 @@
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Arc::new(AtomicUsize::new(bytes)))
+        Budget { left: Arc::new(AtomicUsize::new(bytes)), whole: bytes }
     }
 
-    /// The bytes that are left.
-    pub fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+    /// The bytes that are held.
+    pub fn taken(&self) -> usize {
+        self.whole - self.left.load(Ordering::Relaxed)
     }
 
     /// Room for so many bytes, if there is that much.
     pub fn lease(&self, bytes: usize) -> Option<Lease> {
-        let taken = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
+        let taken =
+            self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
         taken.ok().map(|_| Lease { budget: self.clone(), bytes })
     }
 }
@@ -57,6 +61,6 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
+        self.budget.left.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -60,6 +60,8 @@
     held: BTreeMap<RequestId, Held>,
     timers: BTreeMap<TimerId, Due>,
     timers_set: u64,
+    /// Requests that the module has just given up, not looked at yet.
+    given_up: Vec<RequestId>,
     gauges: Rc<Gauges>,
 }
 
@@ -94,6 +96,7 @@
             held: BTreeMap::new(),
             timers: BTreeMap::new(),
             timers_set: 0,
+            given_up: Vec::new(),
             gauges: Rc::default(),
         }
     }
@@ -236,6 +239,10 @@
                 }
             }
         }
+        // Whatever event it was that it gave them up on, a timer's or another request's: nothing more comes of them.
+        while let Some(id) = self.given_up.pop() {
+            self.forget(id);
+        }
     }
 
     /// Carries out an action. An attempt that can't even start ends at once, with the event returned.
@@ -303,6 +310,7 @@
     fn finish(&mut self, id: RequestId, answer: Answer) {
         if let Some(held) = self.held.get_mut(&id) {
             held.answer(answer);
+            self.given_up.push(id);
         }
     }
 
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -26,6 +26,11 @@
 pub const LINGER: Duration = Duration::from_secs(1);
 /// How often connections are looked over for these times.
 const WATCH: Duration = Duration::from_millis(100);
+/// A client has so long from its connection to its first bytes before it makes room for another: a node that is full
+/// would otherwise close each connection for the next one's sake, with its request on the way.
+const FIRST_WORDS: Duration = Duration::from_millis(20);
+/// But of one place in so many at the most: a crowd that says nothing is not waited for.
+const FIRST_PLACES: usize = 8;
 /// After an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -231,6 +236,10 @@
         }
         let mut idle: Vec<_> =
             clients.values().filter_map(|client| client.idle().map(|order| (order, client))).collect();
+        let new = |client: &Client| !client.asked.get() && now < client.accepted + FIRST_WORDS;
+        if idle.iter().filter(|(_, client)| new(client)).count() <= self.most_clients / FIRST_PLACES {
+            idle.retain(|(_, client)| !new(client));
+        }
         idle.sort_unstable_by_key(|(order, _)| *order);
         if let Some((_, client)) = idle.into_iter().find(|(_, client)| client.socket.is_quiet()) {
             client.close();
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, etcd, few, load, pages, thrift};
+use rig::scenario::{self, demo, etcd, few, load, night, pages, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -83,6 +83,8 @@
         #[arg(long, default_value_t = 48_000)]
         calls: usize,
     },
+    /// Whole nights on a virtual clock: faults from seeds, the four rules checked at every step
+    Night(night::Options),
     /// Runs every command of the README and of the pages for operators, as it stands
     Pages {
         /// These alone, by their paths from the repository's root
@@ -240,6 +242,7 @@
             few::run(&options)
         }
         What::Load { calls } => load::run(calls),
+        What::Night(options) => night::run(&options),
         What::Pages { pages, plant } => {
             pages::run(&pages::Options { pages, stale: matches!(plant, Some(PagesPlant::Stale)) })
         }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -4,6 +4,7 @@
 pub mod etcd;
 pub mod few;
 pub mod load;
+pub mod night;
 pub mod pages;
 pub mod thrift;
 
@@ -17,7 +18,7 @@
 }
 
 /// All scenarios with a verdict.
-pub const ALL: [Listed; 4] = [
+pub const ALL: [Listed; 5] = [
     Listed {
         name: "thrift",
         what: "callers of both encodings against tally boxes that are killed and restarted",
@@ -33,6 +34,11 @@
         what: "a dozen callers at one or two healthy boxes: nothing refused, nothing sent twice",
         plants: &["turn-away", "late"],
     },
+    Listed {
+        name: "night",
+        what: "whole nights on a virtual clock, several troubles at once, from a range of seeds",
+        plants: &["double-correct", "missed-drain", "answer-twice", "late-bytes", "leak", "busy"],
+    },
     Listed {
         name: "pages",
         what: "every command of the README and of the pages for operators, run as it stands",
--- /dev/null
+++ b/crates/simulation/src/plants.rs
@@ -0,0 +1,121 @@
+//! Faults planted in the node, each a mistake that a change of the program could make: checkers that don't find them
+//! find nothing.
+
+use crate::dice::Dice;
+use crate::net::Net;
+use crate::script::Script;
+use hillpick::{LoadReport, Outcome, ServerId};
+use sillward_assembly::Wrap;
+use sillward_core::{Attempt, Backends, Ended, News, Stop, Task};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// A planted fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// A reset is taken for "never ran": within some milliseconds of a reload, while keyed work waits for its second
+    /// attempt.
+    DoubleCorrect,
+    /// One news of a drain in a thousand is not taken in.
+    MissedDrain,
+    /// An answer goes out a second time, once in some hundred.
+    AnswerTwice,
+    /// A kept connection is used again although something came behind its answer.
+    LateBytes,
+    /// An attempt in a thousand never ends.
+    Leak,
+    /// A task of the node wakes itself for ever.
+    Busy,
+}
+
+/// After a reload, so long.
+const DURING_RELOAD: Duration = Duration::from_millis(8);
+
+/// When a node was told to read its configuration again.
+#[derive(Default)]
+pub struct Reloads(Cell<Option<Duration>>);
+
+impl Reloads {
+    /// It is told, now.
+    pub fn told(&self, now: Duration) {
+        self.0.set(Some(now));
+    }
+
+    fn under_way(&self, now: Duration) -> bool {
+        self.0.get().is_some_and(|told| now >= told && now < told + DURING_RELOAD)
+    }
+}
+
+/// What stands between a node and its backends for a plant; nothing for those that are planted elsewhere.
+pub fn planted(plant: Plant, script: &Script, node: usize, net: &Net, reloads: &Rc<Reloads>) -> Option<Wrap> {
+    if matches!(plant, Plant::AnswerTwice | Plant::LateBytes | Plant::MissedDrain) {
+        return None;
+    }
+    let dice = RefCell::new(Dice::of(script.seed, "plant", node as u64));
+    let (net, reloads) = (net.clone(), reloads.clone());
+    Some(Box::new(move |inner| {
+        if plant == Plant::Busy {
+            let (net, due) = (net.clone(), Duration::from_millis(900));
+            sillward_seam::task::spawn_local(async move {
+                sillward_seam::time::sleep_until(net.at(due)).await;
+                loop {
+                    sillward_seam::task::yield_now().await;
+                }
+            });
+        }
+        Rc::new(Planted { inner, plant, dice, net, reloads, waiting: Cell::new(0) })
+    }))
+}
+
+struct Planted {
+    inner: Rc<dyn Backends>,
+    plant: Plant,
+    dice: RefCell<Dice>,
+    net: Net,
+    reloads: Rc<Reloads>,
+    /// Keyed calls whose second attempt is out.
+    waiting: Cell<usize>,
+}
+
+impl Backends for Planted {
+    fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Task<Ended> {
+        let never = self.plant == Plant::Leak && self.dice.borrow_mut().permille(1);
+        let keyed = attempt.call.window.is_some();
+        let unsafe_ = !attempt.call.safe && !keyed;
+        let again = keyed && attempt.number > 0;
+        let call = attempt.call.clone();
+        let work = self.inner.clone().attempt(attempt, stopped);
+        Box::pin(async move {
+            if never {
+                std::future::pending::<()>().await;
+            }
+            self.waiting.set(self.waiting.get() + usize::from(again));
+            let mut ended = work.await;
+            self.waiting.set(self.waiting.get() - usize::from(again));
+            let wrong = self.plant == Plant::DoubleCorrect
+                && unsafe_
+                && ended.outcome == Outcome::Reset
+                && self.waiting.get() > 0
+                && self.reloads.under_way(self.net.now());
+            if wrong {
+                ended.outcome = Outcome::ConnectFailed;
+                call.unclaim();
+            }
+            ended
+        })
+    }
+
+    fn probe(self: Rc<Self>, server: ServerId) -> Task<(Outcome, Option<LoadReport>)> {
+        self.inner.clone().probe(server)
+    }
+
+    fn listed(&self, news: &News, now: Duration) {
+        self.inner.listed(news, now);
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.inner.close_idle(server);
+    }
+}
