--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -2,6 +2,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use sillward_seam::Stream;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -9,6 +10,11 @@
 /// The most that one read takes in.
 const CHUNK: usize = 8 * 1024;
 
+thread_local! {
+    /// What one read takes in, on its way to hyper: used within a poll alone.
+    static CHUNKS: RefCell<[u8; CHUNK]> = const { RefCell::new([0; CHUNK]) };
+}
+
 /// The stream, for hyper.
 pub struct Socket(pub Stream);
 
@@ -18,11 +24,13 @@
         cx: &mut Context<'_>,
         mut to: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; CHUNK];
-        let most = to.remaining().min(CHUNK);
-        let count = ready!(self.0.poll_read(cx, &mut chunk[..most]))?;
-        to.put_slice(&chunk[..count]);
-        Poll::Ready(Ok(()))
+        // Clean bytes for each read, and for each look that finds none, cost more than the read.
+        CHUNKS.with_borrow_mut(|chunk| {
+            let most = to.remaining().min(CHUNK);
+            let count = ready!(self.0.poll_read(cx, &mut chunk[..most]))?;
+            to.put_slice(&chunk[..count]);
+            Poll::Ready(Ok(()))
+        })
     }
 }
 
--- a/crates/simulation/src/parties/roster.rs
+++ b/crates/simulation/src/parties/roster.rs
@@ -124,6 +124,7 @@
     /// Starts an agent of a node.
     pub fn agent(self: &Rc<Self>, node: usize, at: SocketAddr) {
         let host = self.net.machine(&format!("agent{node}"), 0, 4096);
+        self.net.with(host, |machine| machine.beside = true);
         let Ok(listener) = self.net.listen(host, at, 64) else { return };
         let own = self.clone();
         spawn_local(async move {
