--- a/crates/rig/src/scenario/night.rs
+++ b/crates/rig/src/scenario/night.rs
@@ -75,7 +75,7 @@
     DoubleCorrect,
     /// one news of a drain in a thousand is not taken in
     MissedDrain,
-    /// an answer goes out a second time, once in 300
+    /// an answer goes out a second time, once in 60
     AnswerTwice,
     /// a connection is used again although something came behind its answer
     LateBytes,
--- a/crates/simulation/src/plants.rs
+++ b/crates/simulation/src/plants.rs
@@ -20,7 +20,7 @@
     DoubleCorrect,
     /// One news of a drain in a thousand is not taken in.
     MissedDrain,
-    /// An answer goes out a second time, once in some hundred.
+    /// An answer goes out a second time, once in 60.
     AnswerTwice,
     /// A kept connection is used again although something came behind its answer.
     LateBytes,
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -81,7 +81,7 @@
     let trace = Rc::new(Trace::new(options.lines));
     let mut net = Net::new(script.seed, trace.clone());
     net.deaf_to_rest = options.plant == Some(Plant::LateBytes);
-    net.says_twice = (options.plant == Some(Plant::AnswerTwice)).then_some(300);
+    net.says_twice = (options.plant == Some(Plant::AnswerTwice)).then_some(60);
     spawn_local(net.clone().drive());
     let ledger = Ledger::new(net.clone());
     if let Some(beat) = options.beat.clone() {
