--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The listeners: clients' over HTTP, callers' over Thrift, operators'.
 
-use crate::{bind, pages};
+use crate::pages;
 use sillward_admin::Admin;
 use sillward_config::Config;
 use sillward_core::{Budget, Intake};
@@ -93,3 +93,8 @@
         Ok(())
     }
 }
+
+/// Listens, or says in words why not.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))
+}
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -14,7 +14,6 @@
 use sillward_operator::Operator;
 use sillward_pool::{Pool, Sockets, Terms};
 use sillward_seam::Clock;
-use sillward_seam::net::TcpListener;
 use sillward_seam::task::spawn_local;
 use sillward_thrift::BackendTerms;
 use std::net::SocketAddr;
@@ -74,7 +73,7 @@
 ) -> Result<(), String> {
     let config = Rc::new(config);
     let thrift_connections = thrift_connections(&config, &operator)?;
-    let listener = bind(config.listen).await?;
+    let listener = fronts::bind(config.listen).await?;
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
@@ -119,10 +118,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))
-}
-
 /// The backend protocols: HTTP/1.1, and beside it whatever the operator file names for a machine type. All share
 /// the descriptors that backends may take.
 fn backends(
