Operators' calls, drain and counters: no client is kept on a node out of service

Nothing listened at the address for operators; readiness and closing followed SIGTERM alone (listener::Door::closing).

Change: crates/lifecycle decides what a node says and closes in each standing, crates/metrics counts where the fact happens, crates/admin answers one call a connection, config takes admin and PROXY_ADMIN with descriptors of their own. The pages of the operator file use the same front. Seven tests over loopback in tests/operation.rs.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,67 +1,143 @@
-//! Pages for operators, on a listener of their own: plain GETs, each answered by what a function says just then.
+//! Operators' calls, on a listener of their own: HTTP/1.1, one call a connection, each answered by what a function says
+//! just then.
 #![forbid(unsafe_code)]
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use sillward_http1::Socket;
-use sillward_listener::{Client, Door, Serve};
+use sillward_log::log_peer;
 use sillward_seam::Stream;
+use sillward_seam::net::{TcpListener, TcpStream};
+use sillward_seam::task::{AbortHandle, spawn_local};
+use sillward_seam::time::{sleep, timeout};
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
-/// A page's text, as it is now.
-pub type Page = Box<dyn Fn() -> String>;
+/// Callers at once. The oldest makes room for the next: whoever asks is answered within a turn of the loop, so the
+/// oldest is one that says nothing.
+pub const CALLERS: usize = 32;
+/// A caller has so long for its call and the reading of its answer.
+const CALL_TIME: Duration = Duration::from_secs(2);
+/// After an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What a call is answered.
+pub struct Reply {
+    pub status: StatusCode,
+    pub content_type: &'static str,
+    pub text: String,
+}
+
+impl Reply {
+    /// A yes.
+    pub fn yes(text: impl Into<String>) -> Self {
+        Reply { status: StatusCode::OK, content_type: "text/plain", text: text.into() }
+    }
+
+    /// A no, and why.
+    pub fn no(status: StatusCode, text: impl Into<String>) -> Self {
+        Reply { status, content_type: "text/plain", text: text.into() }
+    }
+
+    /// JSON.
+    pub fn json(text: String) -> Self {
+        Reply { status: StatusCode::OK, content_type: "application/json", text }
+    }
+}
+
+/// An answer that may take a turn of the loop to find.
+pub type Answering = Pin<Box<dyn Future<Output = Reply>>>;
+
+/// A call that is known.
+pub struct Route {
+    pub method: Method,
+    pub path: &'static str,
+    pub answer: Box<dyn Fn() -> Answering>,
+}
+
+impl Route {
+    /// A call whose answer is there at once.
+    pub fn new(method: Method, path: &'static str, answer: impl Fn() -> Reply + 'static) -> Self {
+        let answer = move || -> Answering { Box::pin(std::future::ready(answer())) };
+        Route { method, path, answer: Box::new(answer) }
+    }
+}
 
 /// The front for operators.
 pub struct Admin {
-    door: Rc<Door>,
-    /// Each with its path; all are JSON.
-    pages: Vec<(&'static str, Page)>,
+    routes: Vec<Route>,
+    callers: RefCell<VecDeque<AbortHandle>>,
 }
 
 impl Admin {
-    pub fn new(door: Rc<Door>, pages: Vec<(&'static str, Page)>) -> Rc<Self> {
-        Rc::new(Admin { door, pages })
+    pub fn new(routes: Vec<Route>) -> Rc<Self> {
+        Rc::new(Admin { routes, callers: RefCell::default() })
     }
 
-    fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
-        let page = self.pages.iter().find(|(known, _)| *known == path);
-        let (status, text) = match page {
-            Some(_) if method != Method::GET => (StatusCode::METHOD_NOT_ALLOWED, String::new()),
-            Some((_, page)) => (StatusCode::OK, page()),
-            None => (StatusCode::NOT_FOUND, String::new()),
-        };
-        let mut response = Response::new(Full::new(Bytes::from(text)));
-        *response.status_mut() = status;
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        response
+    /// Answers calls for as long as it is polled.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.clone().admit(stream),
+                Err(e) => {
+                    log_peer(format_args!("cannot accept an operator's call: {e}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn admit(self: Rc<Self>, stream: TcpStream) {
+        let mut callers = self.callers.borrow_mut();
+        callers.retain(|caller| !caller.is_finished());
+        if callers.len() >= CALLERS {
+            callers.pop_front().iter().for_each(AbortHandle::abort);
+        }
+        let admin = self.clone();
+        let (stream, _) = Stream::new(stream);
+        let task = spawn_local(async move {
+            let _ = timeout(CALL_TIME, admin.serve(stream)).await; // whoever is not done by then has given up
+        });
+        callers.push_back(task.abort_handle());
     }
-}
 
-impl Serve for Admin {
-    async fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) {
-        let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
-            client.opened();
-            let response = self.answer(request.method(), request.uri().path());
-            self.door.done(&client, self.door.is_closing());
-            async move { Ok::<_, Infallible>(response) }
+    async fn serve(&self, stream: Stream) {
+        let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| async move {
+            Ok::<_, Infallible>(self.answer(request.method(), request.uri().path()).await)
         });
-        let connection = http1::Builder::new()
+        // An end, or bytes that make no sense: either is the caller's own.
+        let _ = http1::Builder::new()
             .header_read_timeout(None)
+            .keep_alive(false)
             .max_buf_size(8 * 1024)
-            .serve_connection(Socket(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => {}
-            () = client.told_to_close() => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+            .serve_connection(Socket(stream), service)
+            .await;
+    }
+
+    async fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
+        let mut at = self.routes.iter().filter(|route| route.path == path).peekable();
+        let allowed = at.peek().map(|route| route.method.clone());
+        let reply = match (at.find(|route| route.method == *method), &allowed) {
+            (Some(route), _) => (route.answer)().await,
+            (None, Some(_)) => Reply::no(StatusCode::METHOD_NOT_ALLOWED, "not by this method\n"),
+            (None, None) => Reply::no(StatusCode::NOT_FOUND, "no such call\n"),
+        };
+        let mut response = Response::new(Full::new(Bytes::from(reply.text)));
+        *response.status_mut() = reply.status;
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(reply.content_type));
+        if let (StatusCode::METHOD_NOT_ALLOWED, Some(allowed)) = (reply.status, allowed) {
+            if let Ok(allowed) = HeaderValue::from_str(allowed.as_str()) {
+                response.headers_mut().insert(ALLOW, allowed);
             }
         }
+        response
     }
 }
--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -1,29 +1,32 @@
 //! The listeners: clients' over HTTP, callers' over Thrift, operators'.
 
-use crate::pages;
-use sillward_admin::Admin;
+use crate::{control, pages};
+use hyper::Method;
+use sillward_admin::{Admin, Reply, Route};
 use sillward_config::Config;
-use sillward_core::{Budget, Intake};
-use sillward_listener::Door;
+use sillward_core::{Budget, Intake, Message};
+use sillward_listener::{Door, Life};
 use sillward_log::log;
 use sillward_membership::Membership;
+use sillward_metrics::Counters;
 use sillward_seam::Clock;
 use sillward_seam::net::TcpListener;
+use sillward_seam::task::spawn_local;
 use sillward_thrift::FrontTerms;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
-
-/// Operators at once.
-const ADMIN_CLIENTS: usize = 4;
+use tokio::sync::{mpsc, watch};
 
 /// What all fronts need.
 pub struct Fronts {
     pub clock: Clock,
     pub config: Rc<Config>,
     pub intake: Intake,
+    pub messages: mpsc::Sender<Message>,
+    pub life: Rc<Life>,
+    pub counters: Rc<Counters>,
     pub budget: Budget,
     pub stop: watch::Receiver<bool>,
     /// How many of the client connections are Thrift callers'.
@@ -50,10 +53,13 @@
         Ok(())
     }
 
-    pub async fn http(&self, listener: TcpListener, ready: Rc<Cell<bool>>) -> Result<(), String> {
-        let door = Door::new(self.config.client_connections - self.thrift_connections, self.longest());
+    pub async fn http(&self, listener: TcpListener) -> Result<(), String> {
+        let life = self.life.clone();
+        let door =
+            Door::new(life.clone(), self.config.client_connections - self.thrift_connections, self.longest());
         let (intake, site) = (self.intake.clone(), self.config.site.clone());
-        let front = sillward_http1::Front::new(intake, site, door.clone(), self.budget.clone(), ready);
+        let (budget, counters) = (self.budget.clone(), self.counters.clone());
+        let front = sillward_http1::Front::new(intake, site, door.clone(), budget, life, counters);
         door.run(front, listener, self.told_to_stop()).await;
         Ok(())
     }
@@ -62,7 +68,7 @@
         let Some(terms) = terms else { return Ok(()) };
         let listener = bind(terms.listen).await?;
         self.said(&listener, "Thrift")?;
-        let door = Door::new(self.thrift_connections, self.longest());
+        let door = Door::new(self.life.clone(), self.thrift_connections, self.longest());
         let (intake, site, seed) = (self.intake.clone(), self.config.site.clone(), self.config.seed);
         let front = sillward_thrift::Front::new(intake, site, terms, door.clone(), self.budget.clone(), seed);
         door.run(front.clone(), listener, self.told_to_stop()).await;
@@ -70,26 +76,38 @@
         Ok(())
     }
 
+    /// Operators' calls: at the platform's address all of them, at the operator file's the pages of what it turns on.
+    /// They are answered until every client has been let go.
     pub async fn admin(
         &self,
-        address: Option<SocketAddr>,
+        platform: Option<SocketAddr>,
+        operator: Option<SocketAddr>,
         sources: Option<Rc<RefCell<Membership>>>,
     ) -> Result<(), String> {
-        let Some(address) = address else { return Ok(()) };
-        let listener = bind(address).await?;
-        self.said(&listener, "operators")?;
-        let door = Door::new(ADMIN_CLIENTS, Duration::from_secs(1));
         let clock = self.clock;
-        let page = |text: fn(Clock, &Rc<RefCell<Membership>>) -> String| -> sillward_admin::Page {
+        let page = |path, text: fn(Clock, &Rc<RefCell<Membership>>) -> String| {
             let sources = sources.clone();
-            Box::new(move || sources.as_ref().map_or_else(|| "{}".to_owned(), |m| text(clock, m)))
+            let text = move || sources.as_ref().map_or_else(|| "{}".to_owned(), |m| text(clock, m));
+            Route::new(Method::GET, path, move || Reply::json(text()))
         };
-        let pages = vec![
-            ("/admin/membership", page(pages::membership)),
-            ("/admin/membership/sources", page(pages::sources)),
-        ];
-        let front = Admin::new(door.clone(), pages);
-        door.run(front, listener, self.told_to_stop()).await;
+        let pages = || {
+            vec![
+                page("/admin/membership", pages::membership),
+                page("/admin/membership/sources", pages::sources),
+            ]
+        };
+        if let Some(address) = platform {
+            let listener = bind(address).await?;
+            self.said(&listener, "operators")?;
+            let mut routes = control::routes(&self.life, &self.counters, &self.messages);
+            routes.extend(sources.is_some().then(pages).into_iter().flatten());
+            spawn_local(Admin::new(routes).run(listener));
+        }
+        if let Some(address) = operator.filter(|address| platform != Some(*address)) {
+            let listener = bind(address).await?;
+            self.said(&listener, "operators")?;
+            spawn_local(Admin::new(pages()).run(listener));
+        }
         Ok(())
     }
 }
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod control;
 mod fronts;
 mod pages;
 mod sources;
@@ -10,7 +11,9 @@
 use hillpick::settings::Site;
 use sillward_config::Config;
 use sillward_core::{Backends, Budget, Dispatch, Gauges, Intake, Node, Reports};
+use sillward_listener::Life;
 use sillward_log::log;
+use sillward_metrics::Counters;
 use sillward_operator::Operator;
 use sillward_pool::{Pool, Sockets, Terms};
 use sillward_seam::Clock;
@@ -81,16 +84,26 @@
     let settings = &config.site.settings;
     let budget = Budget::new(config.body_bytes);
     let sockets = Sockets::new(config.backend_connections);
-    let mut protocols = backends(clock, &config, operator.thrift_backends, &budget, &sockets);
+    let counters = Counters::new();
+    counters.name(&config.site.class_names);
+    let mut protocols = backends(clock, &config, operator.thrift_backends, &budget, &sockets, &counters);
     if let Some(wrap) = wrap {
         protocols = wrap(protocols);
     }
     let sources = sources::start(clock, &config, operator.etcd, &messages);
-    let node = Node::new(clock, settings.clone(), config.seed, protocols, messages.clone(), orders);
+    let node = Node::new(
+        clock,
+        settings.clone(),
+        config.seed,
+        protocols,
+        messages.clone(),
+        orders,
+        counters.clone(),
+    );
     shown(Insight { gauges: node.gauges(), budget: budget.clone(), sockets });
-    let intake = Intake::new(clock, messages);
+    let intake = Intake::new(clock, messages.clone());
     let mut node = spawn_local(node.run(inbox));
-    let ready = sources.discovery.ready();
+    let life = Life::start(clock, sources.discovery.ready());
     let mut discovery = spawn_local(sources.discovery.run(discovery_orders, moved));
     spawn_local(reload(controls.reload, controls.read, config.clone(), moves));
     let said = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
@@ -100,15 +113,18 @@
         clock,
         config: config.clone(),
         intake,
+        messages,
+        life,
+        counters,
         budget,
         stop: controls.stop.clone(),
         thrift_connections,
     };
     let fronts = async {
-        let http = doors.http(listener, ready);
+        let http = doors.http(listener);
         let thrift = doors.thrift(operator.thrift);
-        let admin = doors.admin(operator.admin, sources.membership);
-        tokio::try_join!(http, thrift, admin).map(drop)
+        doors.admin(config.admin, operator.admin, sources.membership).await?;
+        tokio::try_join!(http, thrift).map(drop)
     };
     tokio::select! {
         biased;
@@ -126,6 +142,7 @@
     thrift: Vec<BackendTerms>,
     budget: &Budget,
     sockets: &Rc<Sockets>,
+    counters: &Rc<Counters>,
 ) -> Rc<dyn Backends> {
     let Site { settings, columns, idle_close, .. } = &config.site;
     let terms = Terms {
@@ -136,7 +153,7 @@
     };
     let reports = Reports::new(columns.clone(), settings.reports);
     let pool = Pool::start(clock, sillward_http1::Http1, terms, sockets.clone());
-    let http = sillward_http1::Backend::new(pool, budget.clone(), reports.clone());
+    let http = sillward_http1::Backend::new(pool, budget.clone(), reports.clone(), counters.clone());
     if thrift.is_empty() {
         return http;
     }
@@ -144,7 +161,8 @@
         let protocol = sillward_thrift::Thrift { send_buffer: kind.send_buffer };
         let pool = Pool::start(clock, protocol, terms, sockets.clone());
         let (place, budget) = (kind.kind, budget.clone());
-        let backends: Rc<dyn Backends> = sillward_thrift::Backend::new(pool, kind, budget, reports.clone());
+        let backends: Rc<dyn Backends> =
+            sillward_thrift::Backend::new(pool, kind, budget, reports.clone(), counters.clone());
         (place, backends)
     });
     Rc::new(Dispatch::new(http, others.collect()))
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,8 @@
 
 /// Descriptors for all but connections: standard streams, listener, runtime, discovery, dials that end.
 const SPARE_SOCKETS: usize = 48;
+/// And beside these, for operators: their listener and callers.
+const ADMIN_SOCKETS: usize = 33;
 /// What the program takes by itself, its code, tables and queues: several times what is measured.
 const OWN_BYTES: usize = 8 << 20;
 /// What a connection may take: hyper's buffers either way, and its tasks.
@@ -24,6 +26,8 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     #[serde(default)]
+    admin: Option<SocketAddr>,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -50,6 +54,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; nothing listens for them without it.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     limits: Limits,
     /// The most client connections, and the most connections to backends.
@@ -63,13 +69,20 @@
 }
 
 impl Config {
-    /// Reads the file that `PROXY_CONFIG` names. The other `PROXY_` variables say nothing that it does not.
+    /// Reads the file that `PROXY_CONFIG` names. The other `PROXY_` variables say nothing that it does not;
+    /// `PROXY_ADMIN` is read where the file has no `admin`.
     pub fn from_env() -> Result<Self, String> {
         let path = std::env::var_os("PROXY_CONFIG").ok_or("bad configuration: PROXY_CONFIG is not set")?;
         let path = PathBuf::from(path);
         let text = std::fs::read_to_string(&path)
             .map_err(|e| format!("bad configuration: cannot read {}: {e}", path.display()))?;
-        Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))
+        let mut config = Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))?;
+        if let (None, Some(admin)) = (config.admin, std::env::var_os("PROXY_ADMIN").filter(|v| !v.is_empty()))
+        {
+            let admin = admin.to_str().and_then(|admin| admin.parse().ok());
+            config.admin = Some(admin.ok_or("bad configuration: PROXY_ADMIN is no address with a port")?);
+        }
+        Ok(config)
     }
 
     pub fn parse(text: &str) -> Result<Self, String> {
@@ -86,12 +99,10 @@
             }
         }
         let free = ((file.limits.memory_mb * f64::from(1 << 20)) as usize).saturating_sub(OWN_BYTES);
-        let connections = file.limits.sockets.saturating_sub(SPARE_SOCKETS);
+        let spare = SPARE_SOCKETS + file.admin.map_or(0, |_| ADMIN_SOCKETS);
+        let connections = file.limits.sockets.saturating_sub(spare);
         if connections < 2 {
-            return Err(format!(
-                "{} sockets are too few: {SPARE_SOCKETS} and 2 at least",
-                file.limits.sockets
-            ));
+            return Err(format!("{} sockets are too few: {spare} and 2 at least", file.limits.sockets));
         }
         // Half of the memory at most is for connections; a quarter of the rest is left for chance.
         let connections = connections.min(free / 2 / CONNECTION_BYTES).max(2);
@@ -100,6 +111,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            admin: file.admin,
             seed,
             limits: file.limits,
             client_connections: connections / 2,
@@ -116,6 +128,7 @@
         let fixed = [
             ("name", self.name != later.name),
             ("listen", self.listen != later.listen),
+            ("admin", self.admin != later.admin),
             ("limits", self.limits != later.limits),
             ("settings", self.site != later.site),
         ];
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,4 +41,6 @@
     Probe(ProbeEnded),
     /// News of the list of backends.
     List(News),
+    /// Somebody asks how many backends are listed, and how many of them are avoided.
+    View(tokio::sync::oneshot::Sender<sillward_metrics::View>),
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,6 +4,7 @@
 use crate::{Answer, Attempt, Backends, Call, Ended, Message, Order, ProbeEnded, Stop, Taken};
 use hillpick::*;
 use sillward_log::{log, log_peer};
+use sillward_metrics::{Counters, End, InProgress, View};
 use sillward_seam::Clock;
 use sillward_seam::task::spawn_local;
 use sillward_seam::time::sleep_until;
@@ -21,6 +22,8 @@
     attempts: Vec<Out>,
     /// Its timers, which go with it: a client may say that it waits for as long as it likes.
     timers: Vec<TimerId>,
+    /// Counts it as taken and not ended.
+    in_progress: Option<InProgress>,
 }
 
 struct Out {
@@ -33,10 +36,20 @@
 
 impl Held {
     /// The one place where a final answer leaves. False if there has been one.
-    fn answer(&mut self, answer: Answer) -> bool {
+    fn answer(&mut self, counters: &Counters, answer: Answer) -> bool {
         self.call.over.set(true);
-        // An error means that the client has just left: then no answer is owed.
-        self.reply.take().map(|reply| reply.send(answer)).is_some()
+        let Some(reply) = self.reply.take() else { return false };
+        self.in_progress = None;
+        counters.ended(
+            self.call.class,
+            match answer {
+                Answer::Served(_) => End::Passed,
+                Answer::Refused { .. } => End::Dropped,
+                Answer::Failed | Answer::TimedOut => End::BadGateway,
+            },
+        );
+        let _ = reply.send(answer); // or the client has just left: then no answer is owed
+        true
     }
 }
 
@@ -63,6 +76,7 @@
     /// Requests that the module has just given up, not looked at yet.
     given_up: Vec<RequestId>,
     gauges: Rc<Gauges>,
+    counters: Rc<Counters>,
 }
 
 /// How full the request table is, for whoever started the node.
@@ -84,6 +98,7 @@
         backends: Rc<dyn Backends>,
         messages: mpsc::Sender<Message>,
         discovery: mpsc::Sender<Order>,
+        counters: Rc<Counters>,
     ) -> Self {
         Node {
             clock,
@@ -98,6 +113,7 @@
             timers_set: 0,
             given_up: Vec::new(),
             gauges: Rc::default(),
+            counters,
         }
     }
 
@@ -153,7 +169,7 @@
             Message::Request(taken) => self.on_request(taken),
             Message::ClientGone(id) => {
                 let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
-                held.reply = None;
+                (held.reply, held.in_progress) = (None, None);
                 held.call.over.set(true);
                 self.decide(Event::ClientGone { id });
                 self.forget(id);
@@ -168,6 +184,10 @@
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
+            Message::View(told) => {
+                let (known, skipped) = self.balancer.view();
+                let _ = told.send(View { known, skipped }); // or nobody waits for it any more
+            }
         }
     }
 
@@ -177,7 +197,8 @@
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
         let (attempts, timers) = (Vec::new(), Vec::new());
-        self.held.insert(id, Held { call: Rc::new(call), reply: Some(reply), attempts, timers });
+        let in_progress = Some(self.counters.taken());
+        self.held.insert(id, Held { call: Rc::new(call), reply: Some(reply), attempts, timers, in_progress });
         // A tick early: the answer is to be with the client before it gives up.
         self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
         self.decide(Event::Request(new));
@@ -192,7 +213,7 @@
         let (server, sent) = (out.server, out.sent);
         // The first served answer is the client's; a later one only informs the module.
         if let Some(answer) = ended.answer {
-            held.answer(Answer::Served(answer));
+            held.answer(&self.counters, Answer::Served(answer));
         }
         let finished = held.reply.is_none();
         self.decide(Event::AttemptEnded(AttemptEnd {
@@ -211,7 +232,7 @@
     fn overdue(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
         log_peer(format_args!("request {} was unanswered at its deadline: failed", id.0));
-        held.answer(Answer::TimedOut);
+        held.answer(&self.counters, Answer::TimedOut);
         self.decide(Event::ClientGone { id });
         self.forget(id);
     }
@@ -309,7 +330,7 @@
 
     fn finish(&mut self, id: RequestId, answer: Answer) {
         if let Some(held) = self.held.get_mut(&id) {
-            held.answer(answer);
+            held.answer(&self.counters, answer);
             self.given_up.push(id);
         }
     }
--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// How many servers are listed, and how many of these are sent nothing now: they drain, or are ejected.
+    pub fn view(&self) -> (usize, usize) {
+        let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
+        let avoided = |s: &&Server| s.entry.state == ServerState::Draining || s.ejected.is_some();
+        (listed.clone().count(), listed.filter(avoided).count())
+    }
+
     // ---- Who may be sent to -----------------------------------------------------------------
 
     /// The rules: nothing relaxes these. Rule 3 is kept with its whole grace to spare; by rule 4 a cold
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,9 +1,9 @@
 //! The backends' side: attempts, what their answers tell, and probes.
 
-use crate::socket::Socket;
+use crate::outgoing::{Outgoing, Sending, Written};
 use bytes::Bytes;
 use hillpick::{LoadReport, Outcome, ServerId};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -14,6 +14,7 @@
     Reports, Stop, Task, run,
 };
 use sillward_log::log_peer;
+use sillward_metrics::Counters;
 use sillward_pool::{Connection, Pool, Protocol};
 use sillward_seam::Stream;
 use sillward_seam::task::{AbortHandle, spawn_local};
@@ -33,7 +34,8 @@
 
 /// Carries one request at a time.
 pub struct Carrier {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
+    written: Rc<Written>,
     task: AbortHandle,
 }
 
@@ -47,12 +49,14 @@
     type Carrier = Carrier;
 
     async fn open(&self, stream: Stream) -> io::Result<Carrier> {
-        let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(Socket(stream)).await;
+        let written = Rc::<Written>::default();
+        let sending = Sending::new(stream, written.clone());
+        let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(sending).await;
         let (sender, connection) = opened.map_err(io::Error::other)?;
         let task = spawn_local(async move {
             let _ = connection.await; // its end shows in the request on it
         });
-        Ok(Carrier { sender, task: task.abort_handle() })
+        Ok(Carrier { sender, written, task: task.abort_handle() })
     }
 
     fn is_closed(carrier: &Carrier) -> bool {
@@ -66,6 +70,7 @@
     /// Room for bodies, requests' and answers'.
     budget: Budget,
     reports: Reports,
+    counters: Rc<Counters>,
 }
 
 impl Backends for Backend {
@@ -92,8 +97,8 @@
 }
 
 impl Backend {
-    pub fn new(pool: Rc<Pool<Http1>>, budget: Budget, reports: Reports) -> Rc<Self> {
-        Rc::new(Backend { pool, budget, reports })
+    pub fn new(pool: Rc<Pool<Http1>>, budget: Budget, reports: Reports, counters: Rc<Counters>) -> Rc<Self> {
+        Rc::new(Backend { pool, budget, reports, counters })
     }
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
@@ -106,7 +111,7 @@
                 continue;
             }
             // Time has passed since the decision: what was permitted then may not be any more.
-            let Some(request) = self.request(attempt) else {
+            let Some(request) = self.request(attempt, &connection.carrier.written) else {
                 self.pool.put(connection);
                 return (Outcome::NotSent, None, None);
             };
@@ -146,7 +151,7 @@
 
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
     /// window in which backends drop its repeats, and not once it has its answer.
-    fn request(&self, attempt: &Attempt) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, attempt: &Attempt, written: &Rc<Written>) -> Option<Request<Outgoing>> {
         let (now, call) = (self.pool.clock.now(), &attempt.call);
         let address = self.pool.address(attempt.server)?;
         let value = |bytes: &Bytes| HeaderValue::from_maybe_shared(bytes.clone()).ok();
@@ -167,7 +172,8 @@
             return None;
         }
         let left = (attempt.until - now).as_millis().max(1) as u64;
-        let mut request = Request::new(Full::new(call.content.bytes.clone()));
+        let counted = Some(self.counters.clone());
+        let mut request = Request::new(Outgoing::new(call.content.bytes.clone(), written.clone(), counted));
         *request.method_mut() = if call.safe && plain { Method::GET } else { Method::POST };
         *request.uri_mut() = target.into();
         let headers = request.headers_mut();
@@ -225,7 +231,8 @@
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
-        let mut request = Request::new(Full::default());
+        let written = connection.carrier.written.clone();
+        let mut request = Request::new(Outgoing::new(Bytes::new(), written, None));
         *request.method_mut() = Method::GET;
         let reports = self.reports.any();
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
@@ -317,7 +324,7 @@
                 String::from_utf8_lossy(&sent[..read]).into_owned()
             });
             let reports = Reports::new(Vec::new(), ReportSource::None);
-            let backends = Backend::new(pool.clone(), Budget::new(1 << 20), reports);
+            let backends = Backend::new(pool.clone(), Budget::new(1 << 20), reports, Counters::new());
             let ended = backends.attempt(attempt, stopped).await;
             pool.close_idle(SERVER);
             (ended.outcome, served.await.expect("the backend's part"))
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -12,8 +12,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, READ_BUFFER};
-use sillward_listener::{Client, Door, LINGER, Serve};
+use sillward_listener::{Client, Door, LINGER, Life, Serve};
 use sillward_log::log_peer;
+use sillward_metrics::{Counters, End};
 use sillward_seam::Stream;
 use sillward_seam::task::spawn_local;
 use sillward_seam::time::Instant;
@@ -28,7 +29,8 @@
 pub struct Front {
     site: Site,
     intake: Intake,
-    ready: Rc<Cell<bool>>,
+    life: Rc<Life>,
+    counters: Rc<Counters>,
     door: Rc<Door>,
     /// Room for bodies, requests' and answers'.
     budget: Budget,
@@ -42,9 +44,10 @@
         site: Site,
         door: Rc<Door>,
         budget: Budget,
-        ready: Rc<Cell<bool>>,
+        life: Rc<Life>,
+        counters: Rc<Counters>,
     ) -> Rc<Self> {
-        Rc::new(Front { site, intake, ready, door, budget, open: RefCell::default() })
+        Rc::new(Front { site, intake, life, counters, door, budget, open: RefCell::default() })
     }
 
     async fn respond(
@@ -70,8 +73,8 @@
         let ready_asked = head.uri.path() == "/health/ready";
         let checked = match request::length(&head, &body) {
             Ok(_) if ready_asked => {
-                let ready = self.ready.get() && !self.door.is_closing();
-                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                let status =
+                    if self.life.healthy() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 return Ok(plain(status, Bytes::new()));
             }
             Ok(length) => request::check(&self.site, head, length),
@@ -86,13 +89,17 @@
         };
         let Some(room) = self.budget.lease(request.length) else {
             log_peer("no room for a request's body: refused");
+            self.counters.ended(request.class, End::Dropped);
             return Ok(refusal(self.site.settings.limits.max_retry_after));
         };
-        let body = request::read(body, request.length, room, until).await?;
+        let class = request.class;
+        let failed = |_: &Bad| self.counters.ended(class, End::BadGateway);
+        let body = request::read(body, request.length, room, until).await.inspect_err(failed)?;
         let at = self.intake.clock().now();
         // Its own, or another client's: that one's attempts must not be taken for this one's.
         let Some(_open) = Open::enter(&self.open, &request.call_id) else {
-            return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open"));
+            let conflict = (StatusCode::CONFLICT, "a request with this X-Call-Id is open");
+            return Err(conflict).inspect_err(failed);
         };
         let new = NewRequest {
             class: request.class,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod front;
+mod outgoing;
 mod request;
 mod socket;
 
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -2,11 +2,12 @@
 //! a front's concern ([`Serve`]).
 #![forbid(unsafe_code)]
 
+use sillward_lifecycle::{Event, Lifecycle, Said, Terms};
 use sillward_log::{log, log_peer};
 use sillward_seam::net::{TcpListener, TcpStream};
 use sillward_seam::task::spawn_local;
 use sillward_seam::time::{Instant, sleep, timeout};
-use sillward_seam::{Handle, Stream};
+use sillward_seam::{Clock, Handle, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,6 +18,9 @@
 const ACCEPT_ON: Duration = Duration::from_millis(450);
 /// Then what was accepted last has so long to send its request before idle connections are closed.
 const LAST_WORDS: Duration = Duration::from_millis(100);
+/// Out of service, a connection that is idle is closed once it has been for so long: one that was just opened is
+/// about to ask.
+const PARTING_IDLE: Duration = Duration::from_millis(300);
 /// How long a client may take from its connection, or from the first byte of a later request, to the last byte
 /// of a request: who takes longer waits for no answer. Whoever is bad is rid of in 3 s, watch and all.
 pub const READ_TIMEOUT: Duration = Duration::from_secs(2);
@@ -104,6 +108,49 @@
     }
 }
 
+/// A node's lifecycle, for its doors and fronts. They share one.
+pub struct Life {
+    clock: Clock,
+    state: RefCell<Lifecycle>,
+    /// Set by whoever tells the list of backends.
+    listed: Rc<Cell<bool>>,
+}
+
+impl Life {
+    /// A node that has just started; `listed` is set once it knows enough of its backends to serve.
+    pub fn start(clock: Clock, listed: Rc<Cell<bool>>) -> Rc<Self> {
+        let state = Lifecycle::new(Terms { front: ACCEPT_ON + LAST_WORDS }).into();
+        Rc::new(Life { clock, state, listed })
+    }
+
+    /// Takes in what has happened.
+    pub fn handle(&self, event: Event) -> Said {
+        self.state.borrow_mut().handle(self.clock.now(), event)
+    }
+
+    /// What the front that deals out clients hears.
+    pub fn healthy(&self) -> bool {
+        self.look();
+        self.state.borrow().healthy()
+    }
+
+    /// What operators hear.
+    pub fn can_serve(&self) -> bool {
+        self.look();
+        self.state.borrow().can_serve()
+    }
+
+    fn look(&self) {
+        if self.listed.get() {
+            self.handle(Event::Listed);
+        }
+    }
+
+    fn idle_may_close(&self) -> bool {
+        self.state.borrow().idle_may_close(self.clock.now())
+    }
+}
+
 /// A front: what is spoken on a connection.
 pub trait Serve: 'static {
     /// Serves a client until its connection ends. Dropped, it closes at once.
@@ -112,7 +159,7 @@
 
 /// Keeps the connections of one listener.
 pub struct Door {
-    closing: Cell<bool>,
+    life: Rc<Life>,
     /// The last number that a connection was given.
     numbers: Cell<u64>,
     longest_deadline: Duration,
@@ -126,9 +173,9 @@
 
 impl Door {
     /// For so many clients at once, whose requests are answered within `longest_deadline`.
-    pub fn new(most_clients: usize, longest_deadline: Duration) -> Rc<Self> {
+    pub fn new(life: Rc<Life>, most_clients: usize, longest_deadline: Duration) -> Rc<Self> {
         Rc::new(Door {
-            closing: Cell::new(false),
+            life,
             numbers: Cell::new(0),
             longest_deadline,
             clients: RefCell::default(),
@@ -138,9 +185,9 @@
         })
     }
 
-    /// Whether the node has been told to stop.
+    /// Whether each answer is its connection's last: the node is leaving, or out of service.
     pub fn is_closing(&self) -> bool {
-        self.closing.get()
+        self.life.state.borrow().parting()
     }
 
     /// A client has no request open any more. `last` if its connection ends with that.
@@ -166,6 +213,9 @@
                 sleep(WATCH).await;
                 let now = Instant::now();
                 watched.clients.borrow().values().for_each(|client| client.look(now));
+                if watched.life.idle_may_close() {
+                    watched.part(now);
+                }
             }
         });
         tokio::select! {
@@ -174,7 +224,7 @@
             () = self.accept(&front, &listener) => {}
         }
         log("told to stop: unready, finishing what is held");
-        self.closing.set(true);
+        self.life.handle(Event::Stop);
         let _ = timeout(ACCEPT_ON, self.accept(&front, &listener)).await;
         self.serve_waiting(&front);
         // A connection that waits in the queue may hold a request already: closing the listener would reset it.
@@ -195,6 +245,16 @@
         }
     }
 
+    /// Closes what is idle while clients are sent elsewhere, but nothing on which a request has begun to come.
+    fn part(&self, now: Instant) {
+        for client in self.clients.borrow().values() {
+            let idle = client.idle().is_some_and(|(_, since)| now > since + PARTING_IDLE);
+            if idle && client.socket.is_quiet() {
+                client.close();
+            }
+        }
+    }
+
     async fn accept<S: Serve>(self: &Rc<Self>, front: &Rc<S>, listener: &TcpListener) {
         loop {
             if self.waiting.borrow().is_none() {
--- a/crates/rig/src/peers.rs
+++ b/crates/rig/src/peers.rs
@@ -309,6 +309,7 @@
     }
 
     fn run(mut command: Command, path: PathBuf, operator: &str) -> Self {
+        let configured = std::fs::read_to_string(&path).expect("its configuration");
         let mut child = command.spawn().expect("the node starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let mut address = |what: &str| {
@@ -323,7 +324,8 @@
         };
         let address_of_http = address("listens on ");
         let thrift = operator.contains("[thrift]\nlisten").then(|| address("listens for Thrift on "));
-        let admin = operator.contains("[admin]").then(|| address("listens for operators on "));
+        let operators = operator.contains("[admin]") || configured.contains("\"admin\":");
+        let admin = operators.then(|| address("listens for operators on "));
         let address = address_of_http;
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
@@ -357,6 +359,19 @@
         Client::connect(self.address)
     }
 
+    /// An operator's call: the status and the text of its answer.
+    pub fn operate(&self, call: &str) -> (u16, String) {
+        let answer = Client::connect(self.admin.expect("a listener for operators")).ask(call, "", b"");
+        (answer.status(), String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
+    /// A figure among the counters, by its whole name.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (_, text) = self.operate("GET /control/counters");
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('='));
+        value.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no figure {name} in {text}"))
+    }
+
     pub fn is_ready(&self) -> bool {
         self.client().ask("GET /health/ready", "", b"").status() == 200
     }
@@ -463,6 +478,19 @@
     told(node, discovery, backends)
 }
 
+/// As `serving`, with operators' calls.
+pub fn serving_operators(settings: &str, backends: &[&Backend]) -> (Node, Watch, Discovery) {
+    let discovery = Discovery::start();
+    let node = Node::start(&config_operated(discovery.address, settings), "");
+    told(node, discovery, backends)
+}
+
+/// A configuration with an address for operators.
+pub fn config_operated(discovery: SocketAddr, settings: &str) -> String {
+    let plain = config(discovery, settings, 1024);
+    plain.replacen("\"seed\"", "\"admin\":\"127.0.0.1:0\",\"seed\"", 1)
+}
+
 /// A node with an operator file, whose list holds these lines.
 pub fn serving_operator(
     config: &str,
--- a/crates/rig/src/scenario/etcd.rs
+++ b/crates/rig/src/scenario/etcd.rs
@@ -144,14 +144,13 @@
 
 /// How long from a Put to the node's decision, as operators see it, and how long a bare call of etcd takes.
 fn calm_times(etcd: &Etcd, node: &Node, backend: &Backend) -> (Vec<Duration>, Vec<Duration>) {
-    let mut admin = Client::connect(node.admin.expect("a listener for operators"));
     let mut decisions = Vec::new();
     for i in 0..60 {
         let status = if i % 2 == 0 { "terminating" } else { "in_service" };
         let wanted = format!("\"address\":\"{}\",\"state\":\"{status}\"", backend.address);
         let begun = Instant::now();
         etcd.put(&key(0), &entry("b-0", backend.address, status), 0);
-        while !String::from_utf8_lossy(&admin.ask("GET /admin/membership", "", b"").body).contains(&wanted) {
+        while !page(node, "/admin/membership").contains(&wanted) {
             assert!(begun.elapsed() < Duration::from_secs(10), "the node follows");
         }
         decisions.push(begun.elapsed());
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -17,6 +17,7 @@
     Reports, Stop, Task, run,
 };
 use sillward_log::log_peer;
+use sillward_metrics::Counters;
 use sillward_pool::{Pool, Protocol};
 use sillward_seam::Stream;
 use sillward_seam::time::timeout;
@@ -64,6 +65,7 @@
     /// Room for messages.
     budget: Budget,
     reports: Reports,
+    counters: Rc<Counters>,
 }
 
 /// Why there is no reply that can be used.
@@ -98,8 +100,14 @@
 }
 
 impl Backend {
-    pub fn new(pool: Rc<Pool<Thrift>>, terms: BackendTerms, budget: Budget, reports: Reports) -> Rc<Self> {
-        Rc::new(Backend { pool, terms, budget, reports })
+    pub fn new(
+        pool: Rc<Pool<Thrift>>,
+        terms: BackendTerms,
+        budget: Budget,
+        reports: Reports,
+        counters: Rc<Counters>,
+    ) -> Rc<Self> {
+        Rc::new(Backend { pool, terms, budget, reports, counters })
     }
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
@@ -134,6 +142,7 @@
                 continue;
             }
             written.set(true);
+            self.counters.tried();
             if !call.answered {
                 self.pool.put(connection);
                 return (Outcome::Served, None, None);
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,181 @@
+//! Daily operation over loopback sockets: what operators call, read and change while the node serves.
+
+use rig::peers::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const LONG: u64 = 20_000;
+/// What operators are promised.
+const A_SECOND: Duration = Duration::from_secs(1);
+
+// ---- Operators' front ---------------------------------------------------------------------------
+
+#[test]
+fn operators_calls_are_answered_and_others_are_told_why_not() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving_operators(&settings(LONG, ""), &[&backend]);
+    assert_eq!(node.operate("GET /control/ready").0, 200);
+    assert_eq!(node.operate("GET /control/counters").0, 200);
+    assert_eq!(node.operate("POST /control/out-of-service").0, 200);
+    assert_eq!(node.operate("POST /control/out-of-service").0, 200, "twice is as good as once");
+    assert_eq!(node.operate("POST /control/in-service").0, 200);
+    for (call, status) in [
+        ("POST /control/ready", 405),
+        ("GET /control/out-of-service", 405),
+        ("GET /control", 404),
+        ("GET /read/1", 404),
+        ("GET /health/ready", 404),
+    ] {
+        assert_eq!(node.operate(call).0, status, "{call}");
+    }
+    // One call a connection.
+    let mut client = Client::connect(node.admin.expect("a listener for operators"));
+    assert_eq!(client.ask("GET /control/ready", "", b"").status(), 200);
+    assert!(client.ended());
+    // And nothing of it where clients come.
+    assert_eq!(node.client().ask("GET /control/ready", &common(1000), b"").status(), 404);
+}
+
+#[test]
+fn a_process_that_knows_no_backend_is_not_ready() {
+    let discovery = Discovery::start();
+    let node = Node::start(&config_operated(discovery.address, &settings(LONG, "")), "");
+    assert_eq!(node.operate("GET /control/ready").0, 503);
+    let mut watch = discovery.call();
+    watch.open();
+    watch.line(&list(8, true, &[]));
+    until(|| node.operate("GET /control/ready").0 == 200, "a list");
+}
+
+/// More than there are places for: each says nothing, or half a head, for as long as it is let.
+#[test]
+fn callers_who_finish_no_call_keep_no_other_out() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving_operators(&settings(LONG, ""), &[&backend]);
+    let address = node.admin.expect("a listener for operators");
+    let mut idle: Vec<_> = (0..80).map(|_| Client::connect(address)).collect();
+    idle.iter_mut().step_by(2).for_each(|client| client.write(b"GET /control/ready HTTP/1.1\r\nHo"));
+    for _ in 0..5 {
+        let asked = Instant::now();
+        assert_eq!(node.operate("GET /control/ready").0, 200);
+        assert!(asked.elapsed() < A_SECOND, "{:?}", asked.elapsed());
+    }
+    assert!(idle.iter_mut().all(Client::ended), "none is kept for good");
+}
+
+// ---- Out of service -----------------------------------------------------------------------------
+
+#[test]
+fn out_of_service_empties_the_node_and_back_in_service_it_is_ready_at_once() {
+    let backend = Backend::start(|_| ok(""));
+    let (node, _watch, _discovery) = serving_operators(&settings(LONG, ""), &[&backend]);
+    let (mut asks, mut idle, mut half) = (node.client(), node.client(), node.client());
+    assert_eq!((asks.read().status(), idle.read().status()), (200, 200));
+    let head = format!("GET /read/1 HTTP/1.1\r\nHost: s\r\n{}", common(LONG));
+    half.write(head.as_bytes());
+    assert_eq!(node.operate("POST /control/out-of-service").0, 200);
+    assert!(!node.is_ready(), "the front hears it at once");
+    // Who still asks is served, and learns that it is the last time.
+    let answer = asks.read();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(asks.ended() && idle.ended(), "idle connections close");
+    half.write(b"\r\n");
+    let answer = half.answer().expect("an answer to what had begun");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(!node.is_ready(), "health checks go on getting their no");
+    assert_eq!(node.operate("GET /control/ready").0, 200, "the process itself can serve");
+    assert_eq!(node.operate("POST /control/in-service").0, 200);
+    assert!(node.is_ready());
+    let mut client = node.client();
+    let answers = [client.read(), client.read()];
+    assert!(answers.iter().all(|answer| answer.status() == 200 && answer.header("connection").is_none()));
+}
+
+#[test]
+fn told_to_end_while_out_of_service_it_ends_and_does_not_come_back() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let (mut node, _watch, _discovery) = serving_operators(&settings(3000, ""), &[&backend]);
+    let mut client = node.client();
+    client.send_correct();
+    backend.request();
+    assert_eq!(node.operate("POST /control/out-of-service").0, 200);
+    node.terminate();
+    node.logged("told to stop");
+    assert_eq!(node.operate("POST /control/in-service").0, 409);
+    assert_eq!(node.operate("GET /control/ready").0, 503);
+    assert!(client.answer().is_some(), "what was taken is answered");
+    assert!(node.exit().success());
+}
+
+// ---- Counters -----------------------------------------------------------------------------------
+
+#[test]
+fn counters_say_what_clients_and_backends_saw() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let backend = Backend::start(move |message| {
+        let before = count.fetch_add(1, Ordering::SeqCst);
+        match message.start.split('/').nth(1) {
+            Some("read") if before % 5 == 0 => Reply::Answer("500 Oops", "", vec![]),
+            Some("submit") => Reply::Answer("503 Full", "X-Rejected: 1\r\n", vec![]),
+            Some("correct") => Reply::Break(b"HTTP/1.1 2".to_vec()),
+            _ => ok("figure"),
+        }
+    });
+    let (node, _watch, _discovery) = serving_operators(&settings(LONG, ""), &[&backend]);
+    let mut saw = std::collections::BTreeMap::new();
+    let mut note = |class: &str, status: u16| {
+        let end = match status {
+            200 => "passed",
+            429 | 503 => "dropped",
+            _ => "bad_gateway",
+        };
+        *saw.entry(format!("node.handled.{class}.{end}")).or_insert(0) += 1;
+    };
+    for _ in 0..20 {
+        note("read", node.client().read().status());
+    }
+    for _ in 0..5 {
+        let headers = format!("{}Idempotency-Key: 5c0f6e\r\n", common(LONG));
+        note("submit", node.client().ask("POST /submit/1", &headers, b"sheet").status());
+        note("correct", node.client().correct().status());
+    }
+    // What the front answers by itself counts too: a body that never comes whole.
+    let mut client = node.client();
+    let head = format!("POST /correct/1 HTTP/1.1\r\n{}Content-Length: 9\r\n\r\nhalf", common(LONG));
+    client.write(head.as_bytes());
+    note("correct", client.answer().expect("an error").status());
+    for class in ["read", "submit", "correct"] {
+        for end in ["passed", "dropped", "bad_gateway"] {
+            let name = format!("node.handled.{class}.{end}");
+            assert_eq!(node.figure(&name), saw.get(&name).copied().unwrap_or(0), "{name}");
+        }
+    }
+    assert_eq!(node.figure("node.upstream_tries"), backend.count() as u64);
+    assert_eq!(node.figure("node.in_progress"), 0);
+    assert_eq!(node.figure("node.known_backends"), 1);
+}
+
+#[test]
+fn a_request_is_in_progress_until_its_answer_or_its_clients_end() {
+    let (silent, gone) = (
+        Backend::start(|_| Reply::Silence),
+        std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port"),
+    );
+    let (node, mut watch, _discovery) = serving_operators(&settings(LONG, ""), &[&silent]);
+    let mut clients: Vec<_> = (0..3).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(Client::send_correct);
+    until(|| node.figure("node.in_progress") == 3, "three requests");
+    drop(clients);
+    until(|| node.figure("node.in_progress") == 0, "no request");
+    // Who can't be reached is skipped, and so is who drains.
+    watch.line(&list(
+        9,
+        true,
+        &[entry("s-1", gone, "in_service"), entry("s-2", silent.address, "terminating")],
+    ));
+    until(|| node.figure("node.known_backends") == 2, "the list");
+    assert_eq!(node.figure("node.skipped_backends"), 1);
+    let _ = node.client().read();
+    until(|| node.figure("node.skipped_backends") == 2, "the backend that is gone");
+}
