--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -4,7 +4,7 @@
 use hyper::Method;
 use sillward_admin::{Admin, Reply, Route};
 use sillward_config::Config;
-use sillward_core::{Budget, Intake, Message};
+use sillward_core::{Budget, Intake, Live, Message};
 use sillward_listener::{Door, Life};
 use sillward_log::log;
 use sillward_membership::Membership;
@@ -27,6 +27,7 @@
     pub messages: mpsc::Sender<Message>,
     pub life: Rc<Life>,
     pub counters: Rc<Counters>,
+    pub live: Rc<Live>,
     pub budget: Budget,
     pub stop: watch::Receiver<bool>,
     /// How many of the client connections are Thrift callers'.
@@ -34,9 +35,13 @@
 }
 
 impl Fronts {
-    fn longest(&self) -> Duration {
-        let classes = &self.config.site.settings.classes;
-        classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    /// The longest deadline of any class there is or has been, as it is when it is asked for.
+    fn longest(&self) -> impl Fn() -> Duration + use<> {
+        let live = self.live.clone();
+        move || {
+            let site = live.get();
+            site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+        }
     }
 
     /// Waits until the node is told to stop; its teller's end tells so too.
@@ -57,9 +62,9 @@
         let life = self.life.clone();
         let door =
             Door::new(life.clone(), self.config.client_connections - self.thrift_connections, self.longest());
-        let (intake, site) = (self.intake.clone(), self.config.site.clone());
+        let (intake, live) = (self.intake.clone(), self.live.clone());
         let (budget, counters) = (self.budget.clone(), self.counters.clone());
-        let front = sillward_http1::Front::new(intake, site, door.clone(), budget, life, counters);
+        let front = sillward_http1::Front::new(intake, live, door.clone(), budget, life, counters);
         door.run(front, listener, self.told_to_stop()).await;
         Ok(())
     }
@@ -69,8 +74,8 @@
         let listener = bind(terms.listen).await?;
         self.said(&listener, "Thrift")?;
         let door = Door::new(self.life.clone(), self.thrift_connections, self.longest());
-        let (intake, site, seed) = (self.intake.clone(), self.config.site.clone(), self.config.seed);
-        let front = sillward_thrift::Front::new(intake, site, terms, door.clone(), self.budget.clone(), seed);
+        let (intake, live, seed) = (self.intake.clone(), self.live.clone(), self.config.seed);
+        let front = sillward_thrift::Front::new(intake, live, terms, door.clone(), self.budget.clone(), seed);
         door.run(front.clone(), listener, self.told_to_stop()).await;
         log(format_args!("{} oneway calls were taken", front.oneway_calls()));
         Ok(())
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -8,9 +8,8 @@
 mod pages;
 mod sources;
 
-use hillpick::settings::Site;
 use sillward_config::Config;
-use sillward_core::{Backends, Budget, Dispatch, Gauges, Intake, Node, Reports};
+use sillward_core::{Backends, Budget, Dispatch, Gauges, Intake, Live, Message, Node, Reports};
 use sillward_listener::Life;
 use sillward_log::log;
 use sillward_metrics::Counters;
@@ -84,13 +83,14 @@
     let settings = &config.site.settings;
     let budget = Budget::new(config.body_bytes);
     let sockets = Sockets::new(config.backend_connections);
-    let counters = Counters::new();
+    let (counters, live) = (Counters::new(), Live::new(config.site.clone()));
     counters.name(&config.site.class_names);
-    let mut protocols = backends(clock, &config, operator.thrift_backends, &budget, &sockets, &counters);
+    let mut protocols =
+        backends(clock, &config, operator.thrift_backends, &budget, &sockets, &counters, &live);
     if let Some(wrap) = wrap {
         protocols = wrap(protocols);
     }
-    let sources = sources::start(clock, &config, operator.etcd, &messages);
+    let sources = sources::start(clock, &config, operator.etcd, &messages, &live);
     let node = Node::new(
         clock,
         settings.clone(),
@@ -105,7 +105,14 @@
     let mut node = spawn_local(node.run(inbox));
     let life = Life::start(clock, sources.discovery.ready());
     let mut discovery = spawn_local(sources.discovery.run(discovery_orders, moved));
-    spawn_local(reload(controls.reload, controls.read, config.clone(), moves));
+    let reloading = Reloading {
+        running: config.clone(),
+        live: live.clone(),
+        counters: counters.clone(),
+        node: messages.clone(),
+        moves,
+    };
+    spawn_local(reloading.run(controls.reload, controls.read));
     let said = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {said}", config.name));
 
@@ -116,6 +123,7 @@
         messages,
         life,
         counters,
+        live,
         budget,
         stop: controls.stop.clone(),
         thrift_connections,
@@ -143,15 +151,10 @@
     budget: &Budget,
     sockets: &Rc<Sockets>,
     counters: &Rc<Counters>,
+    live: &Rc<Live>,
 ) -> Rc<dyn Backends> {
-    let Site { settings, columns, idle_close, .. } = &config.site;
-    let terms = Terms {
-        // A request written just when the backend closes the connection would end as a reset.
-        idle_limit: *idle_close * 3 / 4,
-        connect_timeout: settings.limits.connect_timeout,
-        drain_grace: settings.rules.drain_grace,
-    };
-    let reports = Reports::new(columns.clone(), settings.reports);
+    let terms = Terms::of(&config.site);
+    let reports = Reports::new(live.clone());
     let pool = Pool::start(clock, sillward_http1::Http1, terms, sockets.clone());
     let http = sillward_http1::Backend::new(pool, budget.clone(), reports.clone(), counters.clone());
     if thrift.is_empty() {
@@ -168,29 +171,54 @@
     Rc::new(Dispatch::new(http, others.collect()))
 }
 
-/// Reads the configuration again each time that it is told to. Discovery's address is all that can change in a node
-/// that runs; a file that can't be used changes nothing.
-async fn reload(
-    mut told: mpsc::Receiver<()>,
-    read: Box<dyn Fn() -> Result<Config, String>>,
-    started: Rc<Config>,
+/// Reads the configuration again. Its settings and discovery's address can change in a node that runs; a file that
+/// can't be used changes nothing.
+struct Reloading {
+    /// The last that was taken.
+    running: Rc<Config>,
+    live: Rc<Live>,
+    counters: Rc<Counters>,
+    node: mpsc::Sender<Message>,
     moves: watch::Sender<SocketAddr>,
-) {
-    while told.recv().await.is_some() {
-        let new = match read() {
-            Ok(new) => new,
-            Err(what) => {
+}
+
+impl Reloading {
+    /// Each time that it is told to.
+    async fn run(mut self, mut told: mpsc::Receiver<()>, read: Box<dyn Fn() -> Result<Config, String>>) {
+        while told.recv().await.is_some() {
+            let taken = match read() {
+                Ok(new) => self.take(new).await,
+                Err(what) => Err(what),
+            };
+            self.counters.loaded(taken.is_ok());
+            if let Err(what) = taken {
                 log(format_args!("{what}; the configuration stays as it was"));
-                continue;
             }
-        };
-        let fixed = started.fixed_that_differ(&new).join(", ");
+        }
+    }
+
+    /// Takes all of it or nothing.
+    async fn take(&mut self, new: Config) -> Result<(), String> {
+        let old = self.live.get();
+        let site = Rc::new(self.running.followed_by(&new, &old)?);
+        let fixed = self.running.fixed_that_differ(&new).join(", ");
         if !fixed.is_empty() {
             log(format_args!("changed in the configuration, but only a restart takes it in: {fixed}"));
         }
-        let moved =
-            moves.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
-        let what = if moved { "moved to" } else { "stays at" };
-        log(format_args!("configuration read again: discovery {what} {}", new.discovery));
+        let changed = *site != *old;
+        if changed {
+            self.counters.name(&site.class_names);
+            // The node first: what a front reads by the new settings is behind this news.
+            let told = self.node.send(Message::Settings(site.clone())).await;
+            told.map_err(|_| "the node has ended".to_owned())?;
+            self.live.set(site);
+        }
+        let address = new.discovery;
+        let moved = self.moves.send_if_modified(|at| std::mem::replace(at, address) != address);
+        let (settings, what) =
+            (if changed { "changed" } else { "as before" }, if moved { "moved to" } else { "stays at" });
+        log(format_args!("configuration read again: settings {settings}, discovery {what} {address}"));
+        self.running = Rc::new(new);
+        Ok(())
     }
 }
--- a/crates/assembly/src/sources.rs
+++ b/crates/assembly/src/sources.rs
@@ -1,7 +1,7 @@
 //! Who tells the node of its backends: the roster, and etcd beside it where the operator file names one.
 
 use sillward_config::Config;
-use sillward_core::Message;
+use sillward_core::{Live, Message};
 use sillward_etcd::{Etcd, Terms};
 use sillward_hub::Hub;
 use sillward_membership::{Guard, Membership};
@@ -29,18 +29,19 @@
     config: &Config,
     etcd: Option<(Terms, Guard)>,
     node: &mpsc::Sender<Message>,
+    live: &Rc<Live>,
 ) -> Sources {
     let (roster, told) = match &etcd {
         Some(_) => mpsc::channel(TELLINGS),
         None => (node.clone(), mpsc::channel(1).1),
     };
-    let (site, seed) = (&config.site, config.seed);
-    let discovery = Discovery::new(config.discovery, site.clone(), config.known.clone(), seed, roster);
+    let seed = config.seed;
+    let discovery = Discovery::new(config.discovery, live.clone(), config.known.clone(), seed, roster);
     let membership = etcd.map(|(terms, guard)| {
         let sources = [("roster", None), ("etcd", Some(guard))];
         let membership = Rc::new(RefCell::new(Membership::new(&sources)));
         let (tellings, heard) = mpsc::channel(TELLINGS);
-        let etcd = Etcd::new(terms, site.clone(), seed, tellings);
+        let etcd = Etcd::new(terms, live.clone(), seed, tellings);
         let hub = Hub::new(clock, membership.clone(), node.clone(), discovery.ready());
         spawn_local(hub.run(told, heard));
         spawn_local(etcd.run());
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts and probes, and what a backend protocol is to the node.
 
 use crate::{Call, Content, News};
+use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, RequestId, ServerId};
 use std::cell::Cell;
 use std::pin::Pin;
@@ -19,6 +20,8 @@
     fn probe(self: Rc<Self>, server: ServerId) -> Task<(Outcome, Option<LoadReport>)>;
     /// Takes in news of the list: addresses, and when a backend was told to drain or to be gone.
     fn listed(&self, news: &News, now: Duration);
+    /// Takes in new settings.
+    fn retuned(&self, site: &Site);
     /// Closes idle connections to a backend.
     fn close_idle(&self, server: ServerId);
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Several backend protocols side by side: each backend speaks the one of its machine kind.
 
 use crate::{Attempt, Backend, Backends, Ended, News, Stop, Task};
+use hillpick::settings::Site;
 use hillpick::{ListKind, LoadReport, Outcome, ServerId, ServerState};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -69,6 +70,10 @@
         }
     }
 
+    fn retuned(&self, site: &Site) {
+        self.protocols.iter().for_each(|protocol| protocol.retuned(site));
+    }
+
     fn close_idle(&self, server: ServerId) {
         self.of(server).close_idle(server);
     }
@@ -97,6 +102,7 @@
             let backends = news.backends.iter().map(|b| (b.entry.id.0, b.entry.state)).collect();
             self.0.borrow_mut().push((news.kind, backends));
         }
+        fn retuned(&self, _: &Site) {}
         fn close_idle(&self, server: ServerId) {
             self.0.borrow_mut().push((ListKind::Failed, vec![(server.0, ServerState::Ready)]));
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod dispatch;
 mod intake;
+mod live;
 mod memory;
 mod news;
 mod node;
@@ -17,6 +18,7 @@
 pub use call::{Answer, Call, Content, Form, Judge, key_number};
 pub use dispatch::Dispatch;
 pub use intake::{Intake, Taken};
+pub use live::Live;
 pub use memory::{Budget, Lease};
 pub use news::{Backend, News, Order};
 pub use node::{Gauges, Node};
@@ -41,6 +43,8 @@
     Probe(ProbeEnded),
     /// News of the list of backends.
     List(News),
+    /// The settings have changed.
+    Settings(std::rc::Rc<hillpick::settings::Site>),
     /// Somebody asks how many backends are listed, and how many of them are avoided.
     View(tokio::sync::oneshot::Sender<sillward_metrics::View>),
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -79,6 +79,11 @@
     counters: Rc<Counters>,
 }
 
+/// However few the settings allow: one.
+fn most_attempts(settings: &Settings) -> usize {
+    settings.limits.max_attempts.max(1) as usize
+}
+
 /// How full the request table is, for whoever started the node.
 #[derive(Default)]
 pub struct Gauges {
@@ -106,7 +111,7 @@
             messages,
             discovery,
             tick: settings.tick,
-            max_attempts: settings.limits.max_attempts.max(1) as usize,
+            max_attempts: most_attempts(&settings),
             balancer: Balancer::new(settings, seed),
             held: BTreeMap::new(),
             timers: BTreeMap::new(),
@@ -184,6 +189,11 @@
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
+            Message::Settings(site) => {
+                (self.tick, self.max_attempts) = (site.settings.tick, most_attempts(&site.settings));
+                self.backends.retuned(&site);
+                self.decide(Event::Settings(Box::new(site.settings.clone())));
+            }
             Message::View(told) => {
                 let (known, skipped) = self.balancer.view();
                 let _ = told.send(View { known, skipped }); // or nobody waits for it any more
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -1,33 +1,32 @@
 //! Load reports as text, whichever protocol carries them.
 
+use crate::Live;
 use hillpick::settings::Column;
 use hillpick::{LoadReport, ReportSource};
+use std::rc::Rc;
 
 /// Which load reports a site has, and from where.
 #[derive(Clone)]
-pub struct Reports {
-    columns: Vec<Column>,
-    source: ReportSource,
-}
+pub struct Reports(Rc<Live>);
 
 impl Reports {
-    pub fn new(columns: Vec<Column>, source: ReportSource) -> Self {
-        Reports { columns, source }
+    pub fn new(live: Rc<Live>) -> Self {
+        Reports(live)
     }
 
     /// Whether backends report their load at all.
     pub fn any(&self) -> bool {
-        self.source != ReportSource::None
+        self.0.get().settings.reports != ReportSource::None
     }
 
     /// Reads `inflight=7,queue=2`; `None` unless all of it reads as told.
     pub fn read(&self, text: &str) -> Option<LoadReport> {
-        let mut report = LoadReport::default();
+        let (mut report, site) = (LoadReport::default(), self.0.get());
         for field in text.trim().split(',') {
             let (name, value) = field.split_once('=')?;
             let column = Column::on_sockets(name.trim());
             let value: f32 = value.trim().parse().ok().filter(|v: &f32| v.is_finite() && *v >= 0.0)?;
-            if self.columns.contains(&column) {
+            if site.columns.contains(&column) {
                 column.set(&mut report, value);
             }
         }
--- a/crates/etcd/src/source.rs
+++ b/crates/etcd/src/source.rs
@@ -8,13 +8,13 @@
 use crate::session::{Session, Times, Wish};
 use bytes::Bytes;
 use hillpick::ServerId;
-use hillpick::settings::Site;
-use sillward_core::Backend;
+use sillward_core::{Backend, Live};
 use sillward_hub::Telling;
 use sillward_log::{log, log_peer};
 use sillward_seam::time::{Instant, sleep, timeout};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -43,7 +43,7 @@
 /// Follows etcd.
 pub struct Etcd {
     terms: Terms,
-    site: Site,
+    live: Rc<Live>,
     session: Session,
     tellings: mpsc::Sender<Telling>,
     /// The last good line of each key.
@@ -55,10 +55,10 @@
 }
 
 impl Etcd {
-    pub fn new(terms: Terms, site: Site, seed: u64, tellings: mpsc::Sender<Telling>) -> Self {
+    pub fn new(terms: Terms, live: Rc<Live>, seed: u64, tellings: mpsc::Sender<Telling>) -> Self {
         let session = Session::new(terms.endpoints.len(), terms.times, seed.rotate_left(17));
         let (lines, before) = (BTreeMap::new(), BTreeMap::new());
-        Etcd { terms, site, session, tellings, lines, before, part: Vec::new(), listing: false }
+        Etcd { terms, live, session, tellings, lines, before, part: Vec::new(), listing: false }
     }
 
     /// Follows it for good. Whatever breaks is no news: what was told stays.
@@ -169,7 +169,7 @@
     }
 
     async fn put(&mut self, key: Bytes, value: &[u8]) {
-        let backend = match sillward_roster::read_entry(&self.site, value) {
+        let backend = match sillward_roster::read_entry(&self.live.get(), value) {
             Ok(backend) => backend,
             Err(e) => {
                 let name = String::from_utf8_lossy(&key).into_owned();
--- a/crates/hillpick/src/interface.rs
+++ b/crates/hillpick/src/interface.rs
@@ -66,7 +66,7 @@
 }
 
 /// How far a request may be repeated once an attempt may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
     /// It may be repeated freely.
     Safe,
@@ -78,6 +78,7 @@
         window: Duration,
     },
     /// It must never run twice.
+    #[default]
     Unsafe,
 }
 
@@ -317,6 +318,9 @@
 /// Something that has happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The settings have changed. A class and a tenant keep their numbers, and none goes: open requests keep the terms
+    /// that they began with.
+    Settings(Box<Settings>),
     /// News of the server list.
     List {
         /// What the lines are.
--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -58,6 +58,7 @@
             self.on_tick(actions);
         }
         match event {
+            Event::Settings(settings) => self.on_settings(*settings),
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Request(new) => self.on_request(new, actions),
             Event::Started { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
@@ -70,10 +71,11 @@
         }
     }
 
-    /// How many servers are listed, and how many of these are sent nothing now: they drain, or are ejected.
+    /// How many servers are listed, and how many of these are avoided for what they did. One that drains is not: it is
+    /// on its way out as it should be.
     pub fn view(&self) -> (usize, usize) {
         let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
-        let avoided = |s: &&Server| s.entry.state == ServerState::Draining || s.ejected.is_some();
+        let avoided = |s: &&Server| s.entry.state == ServerState::Ready && s.ejected.is_some();
         (listed.clone().count(), listed.filter(avoided).count())
     }
 
@@ -96,7 +98,7 @@
 
     /// Whether what may have run at one server, sent there then, may go to another.
     fn may_follow(&self, server: &Server, request: &Request, to: &ServerEntry, sent: Duration) -> bool {
-        match self.settings.classes[request.class].repeat {
+        match request.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
             Repeat::Keyed { scope, window } => {
@@ -121,7 +123,7 @@
                 && self.permitted(s, request)
                 && self.may_follow(s, request, to, sent)
         };
-        let room = request.attempts.len() + 1 < self.settings.limits.max_attempts as usize;
+        let room = request.attempts.len() + 1 < self.most(request) as usize;
         room && self.ring().filter_map(|id| self.servers.get(&id)).take(self.enough()).any(follows)
     }
 
@@ -208,6 +210,11 @@
         level > self.tried && self.in_time[level] >= 0.75
     }
 
+    /// Attempts that a request may have: fewer allowed now bind it too, more do not.
+    fn most(&self, request: &Request) -> u32 {
+        request.most.min(self.settings.limits.max_attempts).max(1)
+    }
+
     // ---- The pick ---------------------------------------------------------------------------
 
     /// Join-Up-To(m): the lowest estimate strictly below m, ties at random.
@@ -279,7 +286,7 @@
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
         // seldom one that can't be sent again: else trials take most of a quiet node's requests.
-        let once = self.settings.classes[request.class].repeat == Repeat::Unsafe;
+        let once = request.repeat == Repeat::Unsafe;
         let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
         let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
@@ -336,7 +343,7 @@
         let now = self.now;
         let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
         let again = !request.attempts.is_empty();
-        let room = (request.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
+        let room = (request.attempts.len() as u32) < self.most(request);
         let owed = !request.done && self.may_go(request) && now < request.until;
         if !owed || !room || !self.permitted(server, request) {
             return self.finish(id, actions);
@@ -475,7 +482,7 @@
         if request.out() > 0 && self.now < request.until {
             return; // what is out may still be answered
         }
-        let harmless = match self.settings.classes[request.class].repeat {
+        let harmless = match request.repeat {
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
             _ => !request.attempts.iter().any(Attempt::may_have_run),
         };
@@ -515,7 +522,8 @@
         let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
         self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
         let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
-        let request = Request { class, weight, value, until, probed, ..Request::default() };
+        let (repeat, most) = (terms.repeat, self.settings.limits.max_attempts);
+        let request = Request { class, repeat, most, weight, value, until, probed, ..Request::default() };
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
         let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
@@ -554,6 +562,13 @@
         ((worth + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
     }
 
+    /// Takes new settings in; what was learnt of servers and times stays, since they are the same.
+    fn on_settings(&mut self, settings: Settings) {
+        self.allowances.resize_with(settings.tenants.len().max(self.allowances.len()), Default::default);
+        self.patience.resize(settings.classes.len().max(self.patience.len()), Duration::ZERO);
+        self.settings = settings;
+    }
+
     fn on_request_timer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/hillpick/src/settings.rs
+++ b/crates/hillpick/src/settings.rs
@@ -65,8 +65,12 @@
     pub columns: Vec<Column>,
     /// The names of the classes, in the order of [`Settings::classes`].
     pub class_names: Vec<String>,
+    /// Whether the last settings still have it: open requests keep one that has vanished, newcomers don't know it.
+    pub live_classes: Vec<bool>,
     /// The names of the tenants, in the order of [`Settings::tenants`].
     pub tenant_names: Vec<String>,
+    /// As for classes.
+    pub live_tenants: Vec<bool>,
     /// The names of the zones, in the order of their numbers.
     pub zone_names: Vec<String>,
     /// The names of the machine kinds, in the order of their numbers.
@@ -75,6 +79,91 @@
     pub idle_close: Duration,
 }
 
+/// Classes, tenants, zones or machine kinds that a process may come to know by its settings, old ones with them: what
+/// has had a number keeps it, and a file that changed all names again and again would grow without end.
+const MOST_NAMES: usize = 250;
+
+/// The old names with the new ones that are not among them behind, and where each new one stands.
+fn joined(old: &[String], new: &[String]) -> (Vec<String>, Vec<usize>) {
+    let mut all = old.to_vec();
+    let places = new.iter().map(|name| {
+        all.iter().position(|known| known == name).unwrap_or_else(|| {
+            all.push(name.clone());
+            all.len() - 1
+        })
+    });
+    let places = places.collect();
+    (all, places)
+}
+
+/// What the new ones say in their places, and what the old ones said elsewhere; and which of them are new.
+fn placed<T: Clone>(old: &[T], new: &[T], places: &[usize]) -> (Vec<T>, Vec<bool>) {
+    let mut all = old.to_vec();
+    for (item, place) in new.iter().zip(places) {
+        match all.get_mut(*place) {
+            Some(there) => *there = item.clone(),
+            None => all.push(item.clone()),
+        }
+    }
+    let live = (0..all.len()).map(|i| places.contains(&i)).collect();
+    (all, live)
+}
+
+impl Site {
+    /// The number of the class of that name, if the settings have it now.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        let place = self.class_names.iter().position(|known| known == name)?;
+        self.live_classes[place].then_some(place)
+    }
+
+    /// The number of the tenant of that name, if the settings have it now.
+    pub fn tenant(&self, name: &[u8]) -> Option<usize> {
+        let place = self.tenant_names.iter().position(|known| known.as_bytes() == name)?;
+        self.live_tenants[place].then_some(place)
+    }
+
+    /// These settings in the place of `old` ones in a node that runs: all that had a number keeps it, whatever the
+    /// order in the new text.
+    ///
+    /// # Errors
+    /// More names than a process may come to know.
+    pub fn onto(self, old: &Site) -> Result<Site, String> {
+        let (class_names, class_places) = joined(&old.class_names, &self.class_names);
+        let (tenant_names, tenant_places) = joined(&old.tenant_names, &self.tenant_names);
+        let (zone_names, zone_places) = joined(&old.zone_names, &self.zone_names);
+        let (kind_names, _) = joined(&old.kind_names, &self.kind_names);
+        for (what, names) in [
+            ("Classes", &class_names),
+            ("Projects", &tenant_names),
+            ("Localities", &zone_names),
+            ("HostTypes", &kind_names),
+        ] {
+            if names.len() > MOST_NAMES {
+                return Err(format!("settings.{what}: more than {MOST_NAMES} names since the start"));
+            }
+        }
+        let mut settings = self.settings;
+        let (classes, live_classes) = placed(&old.settings.classes, &settings.classes, &class_places);
+        let (tenants, live_tenants) = placed(&old.settings.tenants, &settings.tenants, &tenant_places);
+        (settings.classes, settings.tenants) = (classes, tenants);
+        let zone = zone_places.get(usize::from(settings.zone)).and_then(|zone| u8::try_from(*zone).ok());
+        settings.zone = zone.unwrap_or(settings.zone);
+        // Whether lists are pushed or asked for decides which of two loops follows them, from the start on.
+        settings.list_on_request = old.settings.list_on_request;
+        Ok(Site {
+            settings,
+            columns: self.columns,
+            class_names,
+            live_classes,
+            tenant_names,
+            live_tenants,
+            zone_names,
+            kind_names,
+            idle_close: self.idle_close,
+        })
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Idempotency {
@@ -282,8 +371,9 @@
 /// Reads the settings text.
 pub fn parse(text: &[u8]) -> Result<Site, String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("bad settings: {e}"))?;
-    if raw.classes.is_empty() {
-        return Err("bad settings: no classes".into());
+    let faults = faults(&raw);
+    if !faults.is_empty() {
+        return Err(format!("bad settings: {}", faults.join("; ")));
     }
     let settings = Settings {
         nodes: raw.n_instances.max(1),
@@ -323,6 +413,8 @@
     Ok(Site {
         settings,
         columns: raw.load_report.columns,
+        live_classes: vec![true; raw.classes.len()],
+        live_tenants: vec![true; raw.projects.len()],
         class_names: raw.classes.into_iter().map(|class| class.name).collect(),
         tenant_names: raw.projects.into_iter().map(|tenant| tenant.name).collect(),
         zone_names: raw.localities,
@@ -331,6 +423,62 @@
     })
 }
 
+/// Whatever makes no sense, each fault with its key.
+fn faults(raw: &Raw) -> Vec<String> {
+    let mut faults = Vec::new();
+    if raw.classes.is_empty() {
+        faults.push("Classes: there is none".to_owned());
+    }
+    // A time over a year is no time that anybody meant.
+    let is_time = |ms: f64| ms > 0.0 && ms < 3.2e10;
+    for class in &raw.classes {
+        let mut time = |key: &str, ms: f64| {
+            if !is_time(ms) {
+                faults.push(format!("Classes: {}: {key} is {ms}, and no time over 0", class.name));
+            }
+        };
+        time("Target", class.target);
+        time("GiveUp", class.give_up);
+        if matches!(class.idempotency, Idempotency::Guarded) {
+            time("Window", class.window);
+        }
+        for (key, number) in
+            [("Credit", class.credit), ("LateWorth", class.late_worth), ("AimStretch", class.aim_stretch)]
+        {
+            if !(0.0..1e12).contains(&number) {
+                faults.push(format!("Classes: {}: {key} is {number}, and no amount", class.name));
+            }
+        }
+    }
+    for tenant in &raw.projects {
+        for (key, number) in [("AllowancePerS", tenant.allowance_per_s), ("Share", tenant.share)] {
+            if !(0.0..1e12).contains(&number) {
+                faults.push(format!("Projects: {}: {key} is {number}, and no amount", tenant.name));
+            }
+        }
+    }
+    if raw.permissions.attempts_cap == 0 {
+        faults.push("Permissions.AttemptsCap is 0: nothing could be sent".to_owned());
+    }
+    let limits = &raw.permissions;
+    let rules = &raw.rules;
+    for (key, ms) in [
+        ("Permissions.ConnectTimeout", limits.connect_timeout),
+        ("Permissions.IdleClose", limits.idle_close),
+        ("Permissions.MaxRetryAfter", limits.max_retry_after + f64::from(!limits.retry_after)),
+        ("Rules.DrainGrace", rules.drain_grace + 1.0),
+        ("Rules.RampTime", rules.ramp_time + 1.0),
+        ("Rules.TipAfter", rules.tip_after),
+        ("Rules.MustAskIn", rules.must_ask_in),
+        ("Quantum", raw.quantum),
+    ] {
+        if !is_time(ms) {
+            faults.push(format!("{key}: {ms} is no time"));
+        }
+    }
+    faults
+}
+
 fn class(raw: &RawClass) -> Class {
     let scope = match raw.group {
         Group::All => Scope::All,
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -47,6 +47,10 @@
 #[derive(Default)]
 pub struct Request {
     pub class: usize,
+    /// What its class allowed when it came: later settings neither loosen nor tighten that.
+    pub repeat: Repeat,
+    /// Attempts that it was allowed when it came; later settings may allow fewer.
+    pub most: u32,
     /// Its work in units of the usual request's.
     pub weight: f64,
     /// Its worth against that of the usual request.
--- a/crates/hillpick/tests/decisions.rs
+++ b/crates/hillpick/tests/decisions.rs
@@ -865,3 +865,72 @@
     let reached: usize = (0..2).map(|server| met.get(&server).copied().unwrap_or(0)).sum();
     assert!(reached > 150, "{met:?}");
 }
+
+// ---- New settings -----------------------------------------------------------------------------
+
+fn retuned(world: &mut World, change: impl FnOnce(&mut Settings)) {
+    let mut settings = world.settings.clone();
+    change(&mut settings);
+    world.settings = settings.clone();
+    world.tell(Event::Settings(Box::new(settings)));
+}
+
+/// Two servers in the same zone and cell, so that only the class decides where a repeat may go.
+fn alike(settings: Settings) -> World {
+    let mut world = World::new(settings);
+    world.list(ListKind::Full, vec![entry(0), entry(3)]);
+    world
+}
+
+#[test]
+fn an_open_request_keeps_what_its_class_allowed_when_it_came() {
+    // Looser now: what must not run twice when it came must not later.
+    let mut world = alike(answering());
+    let (id, _) = world.request(1);
+    retuned(&mut world, |settings| settings.classes[1].repeat = Repeat::Safe);
+    let actions = world.end(id, 0, Outcome::Reset, None);
+    assert!(sent_to(&actions).is_empty() && failed(&actions), "{actions:?}");
+    // Stricter now: what may be repeated when it came still may, and is refused as harmless where it can't.
+    let mut world = alike(answering());
+    let (id, _) = world.request(0);
+    retuned(&mut world, |settings| settings.classes[0].repeat = Repeat::Unsafe);
+    let actions = world.end(id, 0, Outcome::Reset, None);
+    assert_eq!(sent_to(&actions).len(), 1, "{actions:?}");
+    let (id, _) = world.request(0);
+    let actions = world.end(id, 0, Outcome::Reset, None);
+    assert!(sent_to(&actions).is_empty() && failed(&actions), "a newcomer meets the new terms: {actions:?}");
+}
+
+#[test]
+fn fewer_attempts_bind_open_requests_and_more_do_not() {
+    let mut world = alike(answering());
+    let (id, _) = world.request(0);
+    retuned(&mut world, |settings| settings.limits.max_attempts = 1);
+    let actions = world.end(id, 0, Outcome::Reset, None);
+    assert!(sent_to(&actions).is_empty() && refused(&actions), "{actions:?}");
+    let (id, _) = world.request(0);
+    retuned(&mut world, |settings| settings.limits.max_attempts = 3);
+    let actions = world.end(id, 0, Outcome::Reset, None);
+    assert!(sent_to(&actions).is_empty() && refused(&actions), "it came when one was allowed: {actions:?}");
+    let (id, _) = world.request(0);
+    assert_eq!(sent_to(&world.end(id, 0, Outcome::Reset, None)).len(), 1, "a newcomer has three");
+}
+
+#[test]
+fn a_class_and_a_tenant_that_appear_are_served_and_what_was_learnt_stays() {
+    let mut world = alike(answering());
+    for _ in 0..8 {
+        world.pass(ms(50));
+        serve(&mut world, 0.0);
+    }
+    let gone = world.request(0);
+    world.end(gone.0, 0, Outcome::ConnectFailed, None);
+    let (_, before) = world.balancer.view();
+    retuned(&mut world, |settings| {
+        settings.classes.push(class(Repeat::Safe));
+        settings.tenants.push(Tenant { allowance_per_s: 10.0, share: 1.0 });
+    });
+    assert_eq!((before, world.balancer.view().1), (1, 1), "who is ejected stays so");
+    let (_, actions) = world.request(5);
+    assert_eq!(sent_to(&actions).len(), 1, "{actions:?}");
+}
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::outgoing::{Outgoing, Sending, Written};
 use bytes::Bytes;
+use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, ServerId};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,7 +16,7 @@
 };
 use sillward_log::log_peer;
 use sillward_metrics::Counters;
-use sillward_pool::{Connection, Pool, Protocol};
+use sillward_pool::{Connection, Pool, Protocol, Terms};
 use sillward_seam::Stream;
 use sillward_seam::task::{AbortHandle, spawn_local};
 use sillward_seam::time::timeout;
@@ -91,6 +92,10 @@
         self.pool.update(news, now);
     }
 
+    fn retuned(&self, site: &Site) {
+        self.pool.retune(Terms::of(site));
+    }
+
     fn close_idle(&self, server: ServerId) {
         self.pool.close_idle(server);
     }
@@ -276,13 +281,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hillpick::{ListKind, ReportSource, RequestId, ServerEntry, ServerState};
-    use sillward_core::Call;
-    use sillward_pool::{Sockets, Terms};
+    use hillpick::{ListKind, RequestId, ServerEntry, ServerState};
+    use sillward_core::{Call, Live};
+    use sillward_pool::Sockets;
     use sillward_seam::Clock;
     use sillward_seam::net::TcpListener;
     use sillward_seam::task::block_on;
 
+    const SITE: &[u8] = br#"{"Classes":[{"Name":"submit","Target":1,"GiveUp":1,"Idempotency":"free"}]}"#;
     const SERVER: ServerId = ServerId(1);
     const MINUTE: Duration = Duration::from_secs(60);
 
@@ -323,7 +329,7 @@
                 let read = Stream::new(stream).0.read(&mut sent).await.unwrap_or_default();
                 String::from_utf8_lossy(&sent[..read]).into_owned()
             });
-            let reports = Reports::new(Vec::new(), ReportSource::None);
+            let reports = Reports::new(Live::new(hillpick::settings::parse(SITE).expect("settings")));
             let backends = Backend::new(pool.clone(), Budget::new(1 << 20), reports, Counters::new());
             let ended = backends.attempt(attempt, stopped).await;
             pool.close_idle(SERVER);
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -3,7 +3,6 @@
 use crate::request::{self, Bad};
 use crate::socket::Socket;
 use bytes::Bytes;
-use hillpick::settings::Site;
 use hillpick::{NewRequest, Repeat};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, READ_BUFFER};
+use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, Live, READ_BUFFER};
 use sillward_listener::{Client, Door, LINGER, Life, Serve};
 use sillward_log::log_peer;
 use sillward_metrics::{Counters, End};
@@ -27,7 +26,7 @@
 /// How much of a body is read on after its request was turned down.
 const READ_PAST: usize = 16 * BODY_LIMIT;
 pub struct Front {
-    site: Site,
+    live: Rc<Live>,
     intake: Intake,
     life: Rc<Life>,
     counters: Rc<Counters>,
@@ -41,13 +40,13 @@
 impl Front {
     pub fn new(
         intake: Intake,
-        site: Site,
+        live: Rc<Live>,
         door: Rc<Door>,
         budget: Budget,
         life: Rc<Life>,
         counters: Rc<Counters>,
     ) -> Rc<Self> {
-        Rc::new(Front { site, intake, life, counters, door, budget, open: RefCell::default() })
+        Rc::new(Front { live, intake, life, counters, door, budget, open: RefCell::default() })
     }
 
     async fn respond(
@@ -70,6 +69,7 @@
 
     async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
         let (head, body) = request.into_parts();
+        let site = self.live.get();
         let ready_asked = head.uri.path() == "/health/ready";
         let checked = match request::length(&head, &body) {
             Ok(_) if ready_asked => {
@@ -77,7 +77,7 @@
                     if self.life.healthy() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 return Ok(plain(status, Bytes::new()));
             }
-            Ok(length) => request::check(&self.site, head, length),
+            Ok(length) => request::check(&site, head, length),
             Err(bad) => Err(bad),
         };
         let request = match checked {
@@ -90,7 +90,7 @@
         let Some(room) = self.budget.lease(request.length) else {
             log_peer("no room for a request's body: refused");
             self.counters.ended(request.class, End::Dropped);
-            return Ok(refusal(self.site.settings.limits.max_retry_after));
+            return Ok(refusal(site.settings.limits.max_retry_after));
         };
         let class = request.class;
         let failed = |_: &Bad| self.counters.ended(class, End::BadGateway);
@@ -113,7 +113,7 @@
         let bytes = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
         let call = Call {
             class: request.class,
-            safe: self.site.settings.classes[request.class].repeat == Repeat::Safe,
+            safe: site.settings.classes[request.class].repeat == Repeat::Safe,
             target: Bytes::copy_from_slice(request.path.as_str().as_bytes()),
             call_id: bytes(&request.call_id),
             idempotency_key: request.idempotency_key.as_ref().map(bytes),
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -55,8 +55,7 @@
     let path = head.uri.path_and_query().ok_or((BAD, "no path"))?.clone();
     let mut parts = path.path().strip_prefix('/').ok_or((BAD, "no path"))?.split('/');
     let name = parts.next().unwrap_or_default();
-    let class = site.class_names.iter().position(|known| known == name);
-    let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
+    let class = site.class(name).ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
     let key = parts.next_back().filter(|key| !key.is_empty()).map_or(0, key_number);
     let terms = &site.settings.classes[class];
 
@@ -82,7 +81,7 @@
     let budget = budget.filter(|ms| (1..=LONGEST_BUDGET_MS).contains(ms));
     let budget = Duration::from_millis(budget.ok_or((BAD, "no X-Budget-Ms that makes sense"))?);
     let caller = text(&head.headers, "x-caller");
-    let tenant = site.tenant_names.iter().position(|known| Some(known.as_str()) == caller);
+    let tenant = caller.and_then(|caller| site.tenant(caller.as_bytes()));
     if tenant.is_none() && !site.tenant_names.is_empty() {
         return Err((StatusCode::FORBIDDEN, "unknown tenant"));
     }
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -162,7 +162,7 @@
     life: Rc<Life>,
     /// The last number that a connection was given.
     numbers: Cell<u64>,
-    longest_deadline: Duration,
+    longest_deadline: Box<dyn Fn() -> Duration>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     most_clients: usize,
     /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
@@ -173,11 +173,15 @@
 
 impl Door {
     /// For so many clients at once, whose requests are answered within `longest_deadline`.
-    pub fn new(life: Rc<Life>, most_clients: usize, longest_deadline: Duration) -> Rc<Self> {
+    pub fn new(
+        life: Rc<Life>,
+        most_clients: usize,
+        longest_deadline: impl Fn() -> Duration + 'static,
+    ) -> Rc<Self> {
         Rc::new(Door {
             life,
             numbers: Cell::new(0),
-            longest_deadline,
+            longest_deadline: Box::new(longest_deadline),
             clients: RefCell::default(),
             most_clients,
             waiting: RefCell::default(),
@@ -240,7 +244,7 @@
             }
         };
         // Every request has its answer by its deadline; who is left then has sent half a request at most.
-        if timeout(self.longest_deadline, all_left).await.is_err() {
+        if timeout((self.longest_deadline)(), all_left).await.is_err() {
             log("a client would not end its connection");
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -2,6 +2,7 @@
 //! Knows no protocol: what carries a request over a connection is a [`Protocol`] of its own.
 #![forbid(unsafe_code)]
 
+use hillpick::settings::Site;
 use hillpick::{ListKind, Outcome, ServerId, ServerState};
 use sillward_core::{Backend, News};
 use sillward_log::log_peer;
@@ -84,6 +85,18 @@
     pub drain_grace: Duration,
 }
 
+impl Terms {
+    /// The site's.
+    pub fn of(site: &Site) -> Self {
+        Terms {
+            // A request written just when the backend closes the connection would end as a reset.
+            idle_limit: site.idle_close * 3 / 4,
+            connect_timeout: site.settings.limits.connect_timeout,
+            drain_grace: site.settings.rules.drain_grace,
+        }
+    }
+}
+
 pub type Delivery<P> = Result<Connection<P>, Outcome>;
 
 struct Place<P: Protocol> {
@@ -131,30 +144,36 @@
 pub struct Pool<P: Protocol> {
     pub clock: Clock,
     protocol: P,
-    terms: Terms,
+    terms: Cell<Terms>,
     places: RefCell<BTreeMap<ServerId, Place<P>>>,
     sockets: Rc<Sockets>,
 }
 
 impl<P: Protocol> Pool<P> {
     pub fn start(clock: Clock, protocol: P, terms: Terms, sockets: Rc<Sockets>) -> Rc<Self> {
-        let pool = Rc::new(Pool { clock, protocol, terms, places: RefCell::default(), sockets });
-        let (sweeper, pause) = (pool.clone(), (pool.terms.idle_limit / 8).max(Duration::from_millis(5)));
+        let places = RefCell::default();
+        let pool = Rc::new(Pool { clock, protocol, terms: Cell::new(terms), places, sockets });
+        let sweeper = pool.clone();
         spawn_local(async move {
             loop {
-                sleep(pause).await;
+                sleep((sweeper.terms.get().idle_limit / 8).max(Duration::from_millis(5))).await;
                 sweeper.sweep();
             }
         });
         pool
     }
 
+    /// From now on these.
+    pub fn retune(&self, terms: Terms) {
+        self.terms.set(terms);
+    }
+
     /// Closes what has been idle for too long, before the backend would.
     fn sweep(&self) {
         let now = self.clock.now();
         for place in self.places.borrow_mut().values_mut() {
             place.idle.retain(|(connection, since)| {
-                !P::is_closed(&connection.carrier) && now.saturating_sub(*since) < self.terms.idle_limit
+                !P::is_closed(&connection.carrier) && now.saturating_sub(*since) < self.terms.get().idle_limit
             });
         }
         drop_gone(&mut self.places.borrow_mut());
@@ -203,7 +222,7 @@
             let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
             let now = self.clock.now();
             while let Some((connection, since)) = place.idle.pop() {
-                if connection.is_usable() && now.saturating_sub(since) < self.terms.idle_limit {
+                if connection.is_usable() && now.saturating_sub(since) < self.terms.get().idle_limit {
                     return Ok(connection);
                 }
             }
@@ -243,7 +262,7 @@
 
     /// Opens a connection; its place among the open ones is taken already.
     async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery<P> {
-        let connected = timeout(self.terms.connect_timeout, TcpStream::connect(address)).await;
+        let connected = timeout(self.terms.get().connect_timeout, TcpStream::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
                 let (stream, handle) = Stream::new(stream);
@@ -311,7 +330,7 @@
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         let places = self.places.borrow();
         let place = places.get(&server)?;
-        let drained = place.told.is_some_and(|told| self.clock.now() >= told + self.terms.drain_grace);
+        let drained = place.told.is_some_and(|told| self.clock.now() >= told + self.terms.get().drain_grace);
         place.address.filter(|_| !drained)
     }
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde_json::Value;
-use sillward_core::{Backend, Message, News, Order};
+use sillward_core::{Backend, Live, Message, News, Order};
 use sillward_log::log;
 use sillward_seam::net::TcpStream;
 use sillward_seam::random::Random;
@@ -74,7 +74,7 @@
 
 pub struct Discovery {
     address: SocketAddr,
-    site: Site,
+    live: Rc<Live>,
     messages: mpsc::Sender<Message>,
     known: Option<String>,
     random: Random,
@@ -87,14 +87,14 @@
     /// `known` is discovery's JSON as this node last had it, perhaps old.
     pub fn new(
         address: SocketAddr,
-        site: Site,
+        live: Rc<Live>,
         known: Option<String>,
         seed: u64,
         messages: mpsc::Sender<Message>,
     ) -> Self {
         Discovery {
             address,
-            site,
+            live,
             messages,
             known,
             random: Random::seeded(!seed),
@@ -119,7 +119,7 @@
                 ready.set(ready.get() || some);
             });
         }
-        if self.site.settings.list_on_request {
+        if self.live.get().settings.list_on_request {
             self.obey(orders, moved).await;
         } else {
             self.follow(moved).await;
@@ -274,12 +274,9 @@
             Ok(list) => list,
             Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
         };
-        let mut backends = Vec::new();
+        let (mut backends, site) = (Vec::new(), self.live.get());
         for line in list.endpoints {
-            match serde_json::from_value(line)
-                .map_err(|e| e.to_string())
-                .and_then(|line| read(&self.site, line))
-            {
+            match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| read(&site, line)) {
                 Ok(backend) => backends.push(backend),
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
@@ -289,7 +286,8 @@
         self.tell(kind, backends).await;
         // Only now: a watch that is dropped before has not told the node, and must be told again.
         self.index = list.index;
-        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+        self.ready
+            .set(self.ready.get() || kind != ListKind::Cached || self.live.get().settings.list_on_request);
     }
 
     async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
--- a/crates/simulation/src/plants.rs
+++ b/crates/simulation/src/plants.rs
@@ -4,6 +4,7 @@
 use crate::dice::Dice;
 use crate::net::Net;
 use crate::script::Script;
+use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, ServerId};
 use sillward_assembly::Wrap;
 use sillward_core::{Attempt, Backends, Ended, News, Stop, Task};
@@ -115,6 +116,10 @@
         self.inner.listed(news, now);
     }
 
+    fn retuned(&self, site: &Site) {
+        self.inner.retuned(site);
+    }
+
     fn close_idle(&self, server: ServerId) {
         self.inner.close_idle(server);
     }
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -11,6 +11,7 @@
 };
 use crate::{BINARY, COMPACT};
 use bytes::Bytes;
+use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, ServerId};
 use sillward_core::{
     Attempt, Backends, Budget, Call, Content, Ended, Exchanged, Form, News, PROBE_TIMEOUT, READ_BUFFER,
@@ -18,7 +19,7 @@
 };
 use sillward_log::log_peer;
 use sillward_metrics::Counters;
-use sillward_pool::{Pool, Protocol};
+use sillward_pool::{Pool, Protocol, Terms};
 use sillward_seam::Stream;
 use sillward_seam::time::timeout;
 use std::cell::Cell;
@@ -94,6 +95,10 @@
         self.pool.update(news, now);
     }
 
+    fn retuned(&self, site: &Site) {
+        self.pool.retune(Terms::of(site));
+    }
+
     fn close_idle(&self, server: ServerId) {
         self.pool.close_idle(server);
     }
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -115,6 +115,13 @@
     if station.len() > LONGEST_KEY || key.as_ref().is_some_and(|key| key.len() > LONGEST_KEY) {
         return Err(bad("a key of more than 256 bytes"));
     }
+    if !site.live_classes[method.class] {
+        return Err(turned(
+            &message,
+            ExceptionKind::UnknownMethod,
+            "its class is none of the settings any more",
+        ));
+    }
     let class = &site.settings.classes[method.class];
     let window = match class.repeat {
         Repeat::Keyed { window, .. } => Some(window),
@@ -126,8 +133,7 @@
     let tenant = match found[2] {
         Some(name) => {
             let name = name.text();
-            let tenant = site.tenant_names.iter().position(|known| known.as_bytes() == name);
-            tenant.ok_or_else(|| bad("unknown tenant"))?
+            site.tenant(&name).ok_or_else(|| bad("unknown tenant"))?
         }
         None if site.tenant_names.is_empty() => 0,
         None => method.default_tenant.ok_or_else(|| bad("no tenant"))?,
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -5,8 +5,7 @@
 use crate::terms::{FrontTerms, Order};
 use crate::wire::{Encoding, ExceptionKind, FrameReader, NotFramed, Step, exception, read_head};
 use bytes::Bytes;
-use hillpick::settings::Site;
-use sillward_core::{Answer, Budget, Intake, Lease, READ_BUFFER};
+use sillward_core::{Answer, Budget, Intake, Lease, Live, READ_BUFFER};
 use sillward_listener::{Client, Door, LINGER, READ_TIMEOUT, Serve};
 use sillward_log::log_peer;
 use sillward_seam::Stream;
@@ -28,7 +27,7 @@
 /// The front for callers that speak Thrift.
 pub struct Front {
     intake: Intake,
-    site: Site,
+    live: Rc<Live>,
     terms: FrontTerms,
     door: Rc<Door>,
     /// Room for frames.
@@ -40,14 +39,14 @@
 impl Front {
     pub fn new(
         intake: Intake,
-        site: Site,
+        live: Rc<Live>,
         terms: FrontTerms,
         door: Rc<Door>,
         budget: Budget,
         seed: u64,
     ) -> Rc<Self> {
         let random = RefCell::new(Random::seeded(seed.rotate_left(32)));
-        Rc::new(Front { intake, site, terms, door, budget, random, oneway: Cell::new(0) })
+        Rc::new(Front { intake, live, terms, door, budget, random, oneway: Cell::new(0) })
     }
 
     /// How many oneway calls have been taken.
@@ -242,7 +241,7 @@
         self.busy = true;
         let front = self.front.clone();
         let at = front.intake.clock().now();
-        match calls::check(terms, &front.site, frame, front.call_id(), at) {
+        match calls::check(terms, &front.live.get(), frame, front.call_id(), at) {
             Ok(Checked { new, call, .. }) if !call.answered => {
                 front.oneway.set(front.oneway.get() + 1);
                 // Whoever called may leave at once: the call stays.
@@ -287,7 +286,7 @@
                 Ok(message) => {
                     log_peer("no room for a call's frame: refused");
                     let caller = Caller::of(&message);
-                    let after = self.front.site.settings.limits.max_retry_after;
+                    let after = self.front.live.get().settings.limits.max_retry_after;
                     let refused = Answer::Refused { after, never_ran: true };
                     (calls::worded(&self.front.terms, &caller, refused), false)
                 }
