--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -5,7 +5,7 @@
 use sillward_admin::{Admin, Reply, Route};
 use sillward_config::Config;
 use sillward_core::{Budget, Intake, Live, Message};
-use sillward_listener::{Door, Life};
+use sillward_listener::{Door, Hold, Life};
 use sillward_log::log;
 use sillward_membership::Membership;
 use sillward_metrics::Counters;
@@ -14,6 +14,7 @@
 use sillward_seam::task::spawn_local;
 use sillward_thrift::FrontTerms;
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,7 +66,13 @@
         let (intake, live) = (self.intake.clone(), self.live.clone());
         let (budget, counters) = (self.budget.clone(), self.counters.clone());
         let front = sillward_http1::Front::new(intake, live, door.clone(), budget, life, counters);
-        door.run(front, listener, self.told_to_stop()).await;
+        let shared = self.config.listen_fd.is_some();
+        if shared {
+            // Another process takes from the same queue, and can serve what this one would keep waiting.
+            self.life.until_it_can_serve().await;
+        }
+        let hold = if shared { Hold::Shared } else { Hold::Own };
+        door.run(front, listener, hold, self.told_to_stop()).await;
         Ok(())
     }
 
@@ -76,7 +83,7 @@
         let door = Door::new(self.life.clone(), self.thrift_connections, self.longest());
         let (intake, live, seed) = (self.intake.clone(), self.live.clone(), self.config.seed);
         let front = sillward_thrift::Front::new(intake, live, terms, door.clone(), self.budget.clone(), seed);
-        door.run(front.clone(), listener, self.told_to_stop()).await;
+        door.run(front.clone(), listener, Hold::Own, self.told_to_stop()).await;
         log(format_args!("{} oneway calls were taken", front.oneway_calls()));
         Ok(())
     }
@@ -117,6 +124,18 @@
     }
 }
 
+/// Adopts the listener that the process was started with, or says in words why not.
+pub fn adopt(descriptor: i32, address: SocketAddr) -> Result<TcpListener, String> {
+    let wrong =
+        |what: &dyn Display| format!("PROXY_LISTEN_FD {descriptor} is no listener at {address}: {what}");
+    let listener = TcpListener::adopt(descriptor).map_err(|e| wrong(&e))?;
+    match listener.local_addr() {
+        Ok(at) if at == address || address.port() == 0 => Ok(listener),
+        Ok(at) => Err(wrong(&format_args!("it listens at {at}"))),
+        Err(e) => Err(wrong(&e)),
+    }
+}
+
 /// Listens, or says in words why not.
 pub async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -75,7 +75,10 @@
 ) -> Result<(), String> {
     let config = Rc::new(config);
     let thrift_connections = thrift_connections(&config, &operator)?;
-    let listener = fronts::bind(config.listen).await?;
+    let listener = match config.listen_fd {
+        Some(descriptor) => fronts::adopt(descriptor, config.listen)?,
+        None => fronts::bind(config.listen).await?,
+    };
     let clock = Clock::start();
     let (messages, inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -67,6 +67,8 @@
     /// The list of backends as this node last had it: discovery's JSON, perhaps old.
     pub known: Option<String>,
     pub site: Site,
+    /// The listening socket that this process was started with, where the platform replaces processes.
+    pub listen_fd: Option<i32>,
     /// The text as it was, without what may be left out of a later one.
     text: Value,
 }
@@ -108,14 +110,19 @@
 }
 
 impl Config {
-    /// Reads the file that `PROXY_CONFIG` names. The other `PROXY_` variables say nothing that it does not;
-    /// `PROXY_ADMIN` is read where the file has no `admin`.
+    /// Reads the file that `PROXY_CONFIG` names. The other `PROXY_` variables say nothing that it does not; but
+    /// `PROXY_LISTEN_FD` is of the process, and `PROXY_ADMIN` is read where the file has no `admin`.
     pub fn from_env() -> Result<Self, String> {
         let path = std::env::var_os("PROXY_CONFIG").ok_or("bad configuration: PROXY_CONFIG is not set")?;
         let path = PathBuf::from(path);
         let text = std::fs::read_to_string(&path)
             .map_err(|e| format!("bad configuration: cannot read {}: {e}", path.display()))?;
         let mut config = Config::parse(&text).map_err(|what| format!("bad configuration: {what}"))?;
+        if let Some(number) = std::env::var_os("PROXY_LISTEN_FD").filter(|v| !v.is_empty()) {
+            let number = number.to_str().and_then(|number| number.parse().ok()).filter(|number| *number > 2);
+            config.listen_fd =
+                Some(number.ok_or("bad configuration: PROXY_LISTEN_FD is no descriptor's number over 2")?);
+        }
         if let (None, Some(admin)) = (config.admin, std::env::var_os("PROXY_ADMIN").filter(|v| !v.is_empty()))
         {
             let admin = admin.to_str().and_then(|admin| admin.parse().ok());
@@ -166,6 +173,7 @@
             body_bytes,
             known: file.known.map(|known| known.get().to_owned()),
             site,
+            listen_fd: None,
             text,
         })
     }
--- a/crates/hillpick/src/settings.rs
+++ b/crates/hillpick/src/settings.rs
@@ -427,7 +427,7 @@
 fn faults(raw: &Raw) -> Vec<String> {
     let mut faults = Vec::new();
     if raw.classes.is_empty() {
-        faults.push("Classes: there is none".to_owned());
+        faults.push("no classes".to_owned());
     }
     // A time over a year is no time that anybody meant.
     let is_time = |ms: f64| ms > 0.0 && ms < 3.2e10;
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -28,6 +28,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection that was told to close, and has no request open, is closed from here after that.
 pub const LINGER: Duration = Duration::from_secs(1);
+/// How often a process that is not ready looks whether it is.
+const LISTED_LOOK: Duration = Duration::from_millis(10);
 /// How often connections are looked over for these times.
 const WATCH: Duration = Duration::from_millis(100);
 /// A client has so long from its connection to its first bytes before it makes room for another: a node that is full
@@ -140,6 +142,13 @@
         self.state.borrow().can_serve()
     }
 
+    /// Waits until this process can serve, or is told to end.
+    pub async fn until_it_can_serve(&self) {
+        while !self.can_serve() && !self.state.borrow().parting() {
+            sleep(LISTED_LOOK).await;
+        }
+    }
+
     fn look(&self) {
         if self.listed.get() {
             self.handle(Event::Listed);
@@ -151,6 +160,15 @@
     }
 }
 
+/// Whose a listening socket is.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Hold {
+    /// This process's alone: what waits in its queue when it closes is reset.
+    Own,
+    /// Held by whoever started the process, and by the process that takes its place: what waits is that one's.
+    Shared,
+}
+
 /// A front: what is spoken on a connection.
 pub trait Serve: 'static {
     /// Serves a client until its connection ends. Dropped, it closes at once.
@@ -209,6 +227,7 @@
         self: Rc<Self>,
         front: Rc<S>,
         listener: TcpListener,
+        hold: Hold,
         stop: impl Future<Output = ()>,
     ) {
         let watched = self.clone();
@@ -229,13 +248,20 @@
         }
         log("told to stop: unready, finishing what is held");
         self.life.handle(Event::Stop);
-        let _ = timeout(ACCEPT_ON, self.accept(&front, &listener)).await;
         self.serve_waiting(&front);
-        // A connection that waits in the queue may hold a request already: closing the listener would reset it.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.serve(&front, stream);
+        if hold == Hold::Own {
+            let _ = timeout(ACCEPT_ON, self.accept(&front, &listener)).await;
+            self.serve_waiting(&front);
+            // A connection that waits in the queue may hold a request already: closing the listener would reset it.
+            while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+                self.serve(&front, stream);
+            }
         }
         drop(listener);
+        if hold == Hold::Shared {
+            // Clients go on using what they have: each has so long to ask once more, and hears that it is the last time.
+            sleep(ACCEPT_ON).await;
+        }
         sleep(LAST_WORDS).await;
         self.clients.borrow().values().for_each(|client| client.close.notify_one());
         let all_left = async {
--- a/crates/rig/src/peers.rs
+++ b/crates/rig/src/peers.rs
@@ -283,6 +283,14 @@
     (command, path)
 }
 
+/// As [`command`], with the listener as descriptor 3.
+pub fn inheriting(listener: &TcpListener, config: &str) -> (Command, PathBuf) {
+    let (mut command, path) = command(config, "exec 3<&0 </dev/null; ");
+    let held = OwnedFd::from(listener.try_clone().expect("its descriptor"));
+    command.env("PROXY_LISTEN_FD", "3").stdin(Stdio::from(held));
+    (command, path)
+}
+
 pub fn config(discovery: SocketAddr, settings: &str, sockets: usize) -> String {
     config_with(discovery, settings, &format!(r#""memory_mb":192,"sockets":{sockets}"#))
 }
@@ -301,6 +309,14 @@
         Node::run(command, path, "")
     }
 
+    /// A process of a node whose listening socket the platform holds: it inherits it as descriptor 3. `more` are further
+    /// variables of its environment.
+    pub fn inheriting(listener: &TcpListener, config: &str, more: &[(&str, &str)]) -> Self {
+        let (mut command, path) = inheriting(listener, config);
+        command.envs(more.iter().copied());
+        Node::run(command, path, "")
+    }
+
     /// A node with an operator file that has a Thrift listener or not.
     pub fn start_with(config: &str, operator: &str) -> Self {
         let (mut command, path) = command(config, "");
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -1,7 +1,7 @@
 //! The seam to the world outside: time, sockets, signals and random numbers come to every other package
 //! through here and from nowhere else, so that a virtual clock and a simulated network can be put beneath.
 //! `tests/seam.rs` of the root package fails when code reaches past it.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 mod clock;
--- a/crates/seam/src/net.rs
+++ b/crates/seam/src/net.rs
@@ -153,6 +153,31 @@
         }))
     }
 
+    /// Adopts a listening socket that this process was started with.
+    ///
+    /// # Errors
+    /// The descriptor is none, or no listening TCP socket.
+    #[expect(unsafe_code, reason = "a number can't be owned in safe code; the one place that does")]
+    pub fn adopt(descriptor: i32) -> io::Result<Self> {
+        let invalid = |what: &str| io::Error::new(ErrorKind::InvalidInput, what.to_owned());
+        if descriptor <= 2 {
+            return Err(invalid("a standard stream is no listener"));
+        }
+        // A number that is not open would make the owned value close another's descriptor later.
+        std::fs::metadata(format!("/proc/self/fd/{descriptor}"))?;
+        // SAFETY: `from_raw_fd` asks that the descriptor is open and owned by nobody else in this process. It is open, as
+        // was just seen. It was inherited: whoever started the process gave it away by naming it, this is called once,
+        // before anything else is opened, and nothing else here ever learns its number.
+        let owned = unsafe { <std::os::fd::OwnedFd as std::os::fd::FromRawFd>::from_raw_fd(descriptor) };
+        let socket = socket2::Socket::from(owned);
+        if !socket.is_listener()? {
+            return Err(invalid("it does not listen"));
+        }
+        socket.set_nonblocking(true)?;
+        socket.set_cloexec(true)?;
+        Ok(TcpListener(Listens::System(tokio::net::TcpListener::from_std(socket.into())?)))
+    }
+
     /// Where it listens.
     ///
     /// # Errors
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -1,6 +1,7 @@
 //! Daily operation over loopback sockets: what operators call, read and change while the node serves.
 
 use rig::peers::*;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -251,3 +252,149 @@
     assert_eq!(node.operate("POST /control/in-service").0, 200);
     assert_eq!(node.client().ask("GET /renamed/1", &common(LONG), b"").status(), 200);
 }
+
+// ---- Replacing the process ----------------------------------------------------------------------
+
+/// What the platform holds for a node: its listening socket and an agent that tells every process the same list.
+struct Platform {
+    listener: TcpListener,
+    address: SocketAddr,
+    discovery: Discovery,
+    watches: Vec<Watch>,
+}
+
+impl Platform {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        Platform { listener, address, discovery: Discovery::start(), watches: Vec::new() }
+    }
+
+    fn config(&self) -> String {
+        let config = config_operated(self.discovery.address, &settings(3000, ""));
+        config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.address))
+    }
+
+    /// Starts a process, which is not told its list yet.
+    fn process(&self) -> Node {
+        Node::inheriting(&self.listener, &self.config(), &[])
+    }
+
+    /// Tells the process that calls next.
+    fn tell(&mut self, node: &Node, backend: &Backend) {
+        let mut watch = self.discovery.call();
+        watch.open();
+        watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+        self.watches.push(watch);
+        until(|| node.operate("GET /control/ready").0 == 200, "its yes");
+    }
+}
+
+/// Clients that ask one request after the other, each on a connection that it keeps for as long as the node does.
+fn load(
+    address: SocketAddr,
+    end: Arc<std::sync::atomic::AtomicBool>,
+) -> Vec<std::thread::JoinHandle<(u64, u64)>> {
+    let client = move |end: Arc<std::sync::atomic::AtomicBool>| {
+        let (mut served, mut lost, mut kept) = (0, 0, None);
+        while !end.load(Ordering::SeqCst) {
+            let mut client = kept.take().unwrap_or_else(|| Client::connect(address));
+            client.send_correct();
+            match client.answer() {
+                Some(answer) if answer.status() == 200 => {
+                    served += 1;
+                    kept = (answer.header("connection") != Some("close")).then_some(client);
+                }
+                _ => lost += 1,
+            }
+        }
+        (served, lost)
+    };
+    (0..6)
+        .map(|_| (client, end.clone()))
+        .map(|(client, end)| std::thread::spawn(move || client(end)))
+        .collect()
+}
+
+#[test]
+fn a_process_takes_the_place_of_another_under_load_and_no_request_is_lost() {
+    let backend = Backend::start(|_| {
+        std::thread::sleep(Duration::from_millis(2));
+        ok("figure")
+    });
+    let mut platform = Platform::start();
+    let mut old = platform.process();
+    platform.tell(&old, &backend);
+    let end = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let clients = load(platform.address, end.clone());
+    for _ in 0..4 {
+        let new = platform.process();
+        platform.tell(&new, &backend);
+        let before = backend.count();
+        until(|| backend.count() > before + 20, "requests beside each other");
+        old.terminate();
+        assert!(old.exit().success());
+        let before = backend.count();
+        until(|| backend.count() > before + 20, "requests to the new process");
+        old = new;
+    }
+    end.store(true, Ordering::SeqCst);
+    let sums = clients.into_iter().map(|client| client.join().expect("a client"));
+    let (served, lost) = sums.fold((0, 0), |sum, (served, lost)| (sum.0 + served, sum.1 + lost));
+    assert!(served > 100, "{served}");
+    // A client may ask just as its idle connection is closed; these ask all the time, so that nothing is idle.
+    assert_eq!(lost, 0, "of {served}");
+}
+
+#[test]
+fn a_process_that_can_not_serve_yet_takes_nothing_from_the_queue_of_both() {
+    let backend = Backend::start(|_| ok("figure"));
+    let mut platform = Platform::start();
+    let old = platform.process();
+    platform.tell(&old, &backend);
+    let mut new = platform.process();
+    let watch = platform.discovery.call(); // it is told nothing
+    assert_eq!(new.operate("GET /control/ready").0, 503);
+    for _ in 0..40 {
+        let mut client = Client::connect(platform.address);
+        assert_eq!(client.read().status(), 200, "the old process alone takes clients");
+    }
+    // It dies: the old one has never stopped.
+    new.signal("-KILL");
+    assert!(!new.exit().success());
+    drop(watch);
+    assert_eq!(Client::connect(platform.address).read().status(), 200);
+}
+
+#[test]
+fn what_waits_in_the_queue_at_the_old_ones_end_is_the_new_ones() {
+    let backend = Backend::start(|_| ok("figure"));
+    let mut platform = Platform::start();
+    let mut old = platform.process();
+    platform.tell(&old, &backend);
+    old.terminate();
+    old.logged("told to stop");
+    let mut waiting = Client::connect(platform.address);
+    waiting.send_correct();
+    assert!(old.exit().success());
+    let new = platform.process();
+    platform.tell(&new, &backend);
+    assert_eq!(waiting.answer().map(|answer| answer.status()), Some(200));
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_of_this_address_is_told_and_not_adopted() {
+    let platform = Platform::start();
+    let elsewhere = TcpListener::bind("127.0.0.1:0").expect("a port");
+    for (listener, variable, expected) in [
+        (&elsewhere, "3", "no listener at"),
+        (&platform.listener, "77", "PROXY_LISTEN_FD 77"),
+        (&platform.listener, "1", "PROXY_LISTEN_FD is no descriptor"),
+        (&platform.listener, "three", "PROXY_LISTEN_FD is no descriptor"),
+    ] {
+        let (mut command, _) = inheriting(listener, &platform.config());
+        let output = command.env("PROXY_LISTEN_FD", variable).output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.code() == Some(1) && said.contains(expected), "{variable}: {said}");
+    }
+}
