--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts and probes, and what a backend protocol is to the node.
 
-use crate::{Call, Content, News};
+use crate::{Call, Content, News, Rest};
 use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, RequestId, ServerId};
 use std::cell::Cell;
@@ -34,6 +34,19 @@
     /// When the node stops waiting for it.
     pub until: Duration,
     pub call: Rc<Call>,
+    /// The way for a long answer whose first bytes are there. The attempt goes on until all of it has gone through.
+    pub started: Cell<Option<oneshot::Sender<Started>>>,
+}
+
+/// The first bytes of a long answer.
+pub struct Started {
+    pub id: RequestId,
+    pub number: u32,
+    /// What is there, and bytes in all where that is known.
+    pub content: Content,
+    pub length: Option<u64>,
+    pub report: Option<LoadReport>,
+    pub rest: Box<dyn Rest>,
 }
 
 /// Why an attempt is stopped.
@@ -63,10 +76,10 @@
     pub report: Option<LoadReport>,
 }
 
-/// Lets an exchange run until it ends or is stopped. `written` is whether it may have run by then.
+/// Lets an exchange run until it ends or is stopped. `written` tells whether it may have run by then.
 pub async fn run(
     attempt: &Attempt,
-    written: &Cell<bool>,
+    written: impl Fn() -> bool,
     exchange: impl Future<Output = Exchanged>,
     stopped: oneshot::Receiver<Stop>,
 ) -> Ended {
@@ -75,7 +88,8 @@
         ended = exchange => ended,
         // The exchange is dropped, and its connection closes.
         stop = stopped => (match stop {
-            _ if !written.get() => Outcome::NotSent,
+            _ if !written() => Outcome::NotSent,
+            // Its claim on the call stays: it may run, or may yet.
             Ok(Stop::TimedOut) => Outcome::TimedOut,
             Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
         }, None, None),
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -1,5 +1,6 @@
 //! A call as every protocol sees it, and its answer.
 
+use crate::{Coming, Rest};
 use bytes::Bytes;
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -36,10 +37,11 @@
 pub type Judge = Rc<dyn Fn(&[u8]) -> bool>;
 
 /// A final answer.
-#[derive(Debug)]
 pub enum Answer {
     /// A backend's answer, as it came.
     Served(Content),
+    /// A backend's long answer, as it comes: what is there, bytes in all where that is known, and the rest.
+    Streamed(Content, Option<u64>, Box<dyn Rest>),
     /// To try again is harmless, perhaps after that time: it never ran, or its class may be repeated as it is.
     Refused {
         /// After this time, where the settings allow to say so.
@@ -65,14 +67,16 @@
     pub call_id: Bytes,
     /// By which backends know a repeat.
     pub idempotency_key: Option<Bytes>,
-    /// What goes on.
+    /// What goes on: all of it, or its first bytes where the rest is coming.
     pub content: Content,
+    /// The rest, where it is still coming.
+    pub coming: Option<Coming>,
     /// Judges whether a backend's body is an answer to this call at all, where its protocol can't tell.
     pub judge: Option<Judge>,
     /// Whether anybody waits for an answer. Where nobody does, the call is over once it may have run.
     pub answered: bool,
-    /// When the client stops waiting.
-    pub deadline: Duration,
+    /// When the client stops waiting; where the body is still coming, when it must have come.
+    pub deadline: Cell<Duration>,
     /// How long backends remember a keyed request, from the first byte of the first attempt.
     pub window: Option<Duration>,
     /// When the first byte of the first attempt went out.
@@ -100,6 +104,11 @@
         true
     }
 
+    /// Whether its body can't be sent again.
+    pub fn is_spent(&self) -> bool {
+        self.coming.as_ref().is_some_and(Coming::is_spent)
+    }
+
     /// Takes a claim back: the attempt is known never to have run.
     pub fn unclaim(&self) {
         self.out.set(self.out.get().saturating_sub(1));
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -37,16 +37,41 @@
 
     /// Hands a request to the node, under a number of its own, and waits for its one answer. Dropped before
     /// that, it tells the node that the client has left. `None` if the node has ended.
-    pub async fn submit(&self, mut new: NewRequest, call: Call, at: Duration) -> Option<Answer> {
+    pub async fn submit(&self, new: NewRequest, call: Call, at: Duration) -> Option<Answer> {
+        self.submit_arriving(new, call, at, std::future::pending()).await
+    }
+
+    /// As [`Intake::submit`], for a request whose body is still coming: `arrived` tells when its last byte came.
+    pub async fn submit_arriving(
+        &self,
+        mut new: NewRequest,
+        call: Call,
+        at: Duration,
+        arrived: impl Future<Output = Duration>,
+    ) -> Option<Answer> {
         self.numbers.set(self.numbers.get() + 1);
-        new.id = RequestId(self.numbers.get());
+        let id = RequestId(self.numbers.get());
+        new.id = id;
         let (reply, answer) = oneshot::channel();
         // The place for the news that the client has left is kept now: a drop can't wait for one.
         let place = self.messages.clone().reserve_owned().await.ok()?;
-        let mut gone = Gone { id: new.id, place: Some(place) };
+        let mut gone = Gone { id, place: Some(place) };
         let taken = Box::new(Taken { new, at, call, reply });
         self.messages.send(Message::Request(taken)).await.ok()?;
-        let answer = answer.await.unwrap_or(Answer::Failed);
+        let mut answer = std::pin::pin!(answer);
+        let early = tokio::select! {
+            biased;
+            answer = answer.as_mut() => Some(answer),
+            at = arrived => {
+                self.messages.send(Message::Arrived(id, at)).await.ok()?;
+                None
+            }
+        };
+        let answer = match early {
+            Some(answer) => answer,
+            None => answer.await,
+        };
+        let answer = answer.unwrap_or(Answer::Failed);
         gone.place = None;
         Some(answer)
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod call;
 mod dispatch;
+mod flow;
 mod intake;
 mod live;
 mod memory;
@@ -14,9 +15,10 @@
 mod node;
 mod report;
 
-pub use attempt::{Attempt, Backends, Ended, Exchanged, ProbeEnded, Stop, Task, run};
+pub use attempt::{Attempt, Backends, Ended, Exchanged, ProbeEnded, Started, Stop, Task, run};
 pub use call::{Answer, Call, Content, Form, Judge, key_number};
 pub use dispatch::Dispatch;
+pub use flow::{Broken, Coming, Feed, Flow, Rest};
 pub use intake::{Intake, Taken};
 pub use live::Live;
 pub use memory::{Budget, Lease};
@@ -25,7 +27,11 @@
 pub use report::Reports;
 
 /// The most bytes of a body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
+pub const BODY_LIMIT: u64 = 32 << 20;
+/// Up to so many bytes an answer is read whole before it goes on, so that a broken one is an outcome and no half answer.
+pub const WHOLE_ANSWER: usize = 64 * 1024;
+/// Up to so many bytes a request's body is read whole before it goes on, and kept: so long it can be sent again.
+pub const KEPT_BODY: usize = 256 * 1024;
 /// What a connection may buffer. For HTTP no head is longer; the least that hyper allows.
 pub const READ_BUFFER: usize = 8 * 1024;
 /// A probe that is not answered by then tells nothing that is still true.
@@ -37,6 +43,10 @@
     Request(Box<Taken>),
     /// A client has left before its answer.
     ClientGone(hillpick::RequestId),
+    /// The last byte of a request has come whose body went on while it came: at that time.
+    Arrived(hillpick::RequestId, std::time::Duration),
+    /// The first bytes of a long answer are there.
+    Started(Started),
     /// An attempt has ended.
     Attempt(Ended),
     /// A probe has ended.
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -35,7 +35,25 @@
     }
 }
 
+impl Budget {
+    /// Room for so many bytes of a long body: a quarter of all is left to the short ones.
+    pub fn lease_spare(&self, bytes: usize) -> Option<Lease> {
+        let spare = self.left.load(Ordering::Relaxed).saturating_sub(self.whole / 4);
+        (bytes <= spare).then(|| self.lease(bytes))?
+    }
+}
+
 impl Lease {
+    /// Takes so many bytes more for a long body while half of all is left, so that its later fellows find room to begin;
+    /// otherwise nothing changes.
+    pub fn grow_spare(&mut self, bytes: usize) -> bool {
+        let plenty = self.budget.left.load(Ordering::Relaxed) >= self.budget.whole / 2;
+        plenty.then(|| self.budget.lease(bytes)).flatten().is_some_and(|mut more| {
+            self.bytes += std::mem::take(&mut more.bytes);
+            true
+        })
+    }
+
     /// Takes so many bytes more, if there is that much room; otherwise nothing changes.
     pub fn grow(&mut self, bytes: usize) -> bool {
         match self.budget.lease(bytes) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,7 +1,7 @@
 //! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
-use crate::{Answer, Attempt, Backends, Call, Ended, Message, Order, ProbeEnded, Stop, Taken};
+use crate::{Answer, Attempt, Backends, Call, Ended, Message, Order, ProbeEnded, Started, Stop, Taken};
 use hillpick::*;
 use sillward_log::{log, log_peer};
 use sillward_metrics::{Counters, End, InProgress, View};
@@ -24,6 +24,10 @@
     timers: Vec<TimerId>,
     /// Counts it as taken and not ended.
     in_progress: Option<InProgress>,
+    /// When its last byte came, where it went on before.
+    arrived: Option<Duration>,
+    /// The attempt whose long answer the client is being given, and when that began.
+    streaming: Option<(u32, Duration)>,
 }
 
 struct Out {
@@ -39,15 +43,17 @@
     fn answer(&mut self, counters: &Counters, answer: Answer) -> bool {
         self.call.over.set(true);
         let Some(reply) = self.reply.take() else { return false };
-        self.in_progress = None;
-        counters.ended(
-            self.call.class,
-            match answer {
-                Answer::Served(_) => End::Passed,
-                Answer::Refused { .. } => End::Dropped,
-                Answer::Failed | Answer::TimedOut => End::BadGateway,
-            },
-        );
+        let end = match answer {
+            Answer::Served(_) => Some(End::Passed),
+            // Its end is counted: it may break yet.
+            Answer::Streamed(..) => None,
+            Answer::Refused { .. } => Some(End::Dropped),
+            Answer::Failed | Answer::TimedOut => Some(End::BadGateway),
+        };
+        if let Some(end) = end {
+            self.in_progress = None;
+            counters.ended(self.call.class, end);
+        }
         let _ = reply.send(answer); // or the client has just left: then no answer is owed
         true
     }
@@ -179,6 +185,8 @@
                 self.decide(Event::ClientGone { id });
                 self.forget(id);
             }
+            Message::Arrived(id, at) => self.on_arrived(id, at),
+            Message::Started(started) => self.on_started(started),
             Message::Attempt(ended) => self.on_attempt(ended),
             Message::Probe(ProbeEnded { server, outcome, sent, report }) => {
                 let elapsed = self.clock.now().saturating_sub(sent);
@@ -203,36 +211,88 @@
 
     fn on_request(&mut self, taken: Box<Taken>) {
         let Taken { mut new, at, call, reply } = *taken;
-        let (id, deadline) = (new.id, call.deadline);
-        let waited = self.clock.now().saturating_sub(at);
-        new.remaining = new.remaining.saturating_sub(waited);
+        let (id, deadline) = (new.id, call.deadline.get());
+        new.arriving = call.coming.is_some();
+        if !new.arriving {
+            let waited = self.clock.now().saturating_sub(at);
+            new.remaining = new.remaining.saturating_sub(waited);
+        }
         let (attempts, timers) = (Vec::new(), Vec::new());
         let in_progress = Some(self.counters.taken());
-        self.held.insert(id, Held { call: Rc::new(call), reply: Some(reply), attempts, timers, in_progress });
+        let held = Held {
+            call: Rc::new(call),
+            reply: Some(reply),
+            attempts,
+            timers,
+            in_progress,
+            arrived: None,
+            streaming: None,
+        };
+        self.held.insert(id, held);
         // A tick early: the answer is to be with the client before it gives up.
         self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
         self.decide(Event::Request(new));
         self.forget(id);
     }
 
+    /// The whole of a request is here that went on while it came: its time begins.
+    fn on_arrived(&mut self, id: RequestId, at: Duration) {
+        let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
+        let Some(coming) = &held.call.coming else { return };
+        let (deadline, spent) = (at + coming.budget, coming.is_spent());
+        held.arrived = Some(at);
+        held.call.deadline.set(deadline);
+        self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
+        self.decide(Event::Arrived { id, spent });
+        self.forget(id);
+    }
+
+    /// The first bytes of a long answer are the client's; the attempt goes on until the last one is.
+    fn on_started(&mut self, started: Started) {
+        let Started { id, number, content, length, report, rest } = started;
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(&id) else { return };
+        // An earlier answer has gone out: this one's connection closes with the rest of it.
+        if !held.answer(&self.counters, Answer::Streamed(content, length, rest)) {
+            return;
+        }
+        held.streaming = Some((number, now));
+        let Some(server) = held.attempts.get(number as usize).map(|out| out.server) else { return };
+        self.decide(Event::Started { id, attempt: number, server, report });
+    }
+
     fn on_attempt(&mut self, ended: Ended) {
         let Some(held) = self.held.get_mut(&ended.id) else { return };
         let Some(out) = held.attempts.get_mut(ended.number as usize) else { return };
         (out.ended, out.stop) = (true, None);
         self.gauges.attempts.set(self.gauges.attempts.get() - 1);
         let (server, sent) = (out.server, out.sent);
+        // What a server takes for an answer runs from the request's last byte to the answer's first.
+        let from = held.arrived.map_or(sent, |arrived| arrived.max(sent));
+        let mut until = self.clock.now();
+        if let Some((_, began)) = held.streaming.filter(|(number, _)| *number == ended.number) {
+            until = began;
+            held.in_progress = None;
+            // A client that left is told nothing, and counted nowhere.
+            match ended.outcome {
+                Outcome::Served => self.counters.ended(held.call.class, End::Passed),
+                Outcome::Cancelled => {}
+                _ => self.counters.ended(held.call.class, End::BadGateway),
+            }
+        }
         // The first served answer is the client's; a later one only informs the module.
         if let Some(answer) = ended.answer {
             held.answer(&self.counters, Answer::Served(answer));
         }
-        let finished = held.reply.is_none();
+        let (finished, spent) = (held.reply.is_none(), held.call.is_spent());
         self.decide(Event::AttemptEnded(AttemptEnd {
             id: ended.id,
             attempt: ended.number,
             server,
             outcome: ended.outcome,
-            elapsed: self.clock.now().saturating_sub(sent),
+            elapsed: until.saturating_sub(from),
             finished,
+            spent,
             report: ended.report,
         }));
         self.forget(ended.id);
@@ -241,6 +301,9 @@
     /// Whatever the module does, nobody is left without an answer at the deadline.
     fn overdue(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
+        if held.call.deadline.get().saturating_sub(self.tick) > self.clock.now() {
+            return; // its body came later than that: another timer tells
+        }
         log_peer(format_args!("request {} was unanswered at its deadline: failed", id.0));
         held.answer(&self.counters, Answer::TimedOut);
         self.decide(Event::ClientGone { id });
@@ -302,7 +365,7 @@
         let now = self.clock.now();
         let held = self.held.get_mut(&id)?;
         let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
-        let deadline = held.call.deadline;
+        let deadline = held.call.deadline.get();
         if finished || now >= deadline || held.attempts.len() >= self.max_attempts {
             held.attempts.push(Out { server, sent: now, stop: None, ended: true });
             return Some(Event::AttemptEnded(AttemptEnd {
@@ -312,18 +375,32 @@
                 outcome: Outcome::NotSent,
                 elapsed: Duration::ZERO,
                 finished,
+                spent: held.call.is_spent(),
                 report: None,
             }));
         }
         let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
-        let attempt = Attempt { id, number, server, until, call: held.call.clone() };
+        let (start, started) = oneshot::channel();
+        let (call, start) = (held.call.clone(), Cell::new(Some(start)));
+        let attempt = Attempt { id, number, server, until, call, started: start };
         held.attempts.push(Out { server, sent: now, stop: Some(stop), ended: false });
         self.set(until, Due::Attempt(id, number));
         self.gauges.attempts.set(self.gauges.attempts.get() + 1);
-        let (work, messages) = (self.backends.clone().attempt(attempt, stopped), self.messages.clone());
+        let (mut work, messages) = (self.backends.clone().attempt(attempt, stopped), self.messages.clone());
         spawn_local(async move {
-            let ended = work.await;
+            let early = tokio::select! {
+                biased;
+                ended = &mut work => Some(ended),
+                Ok(started) = started => {
+                    let _ = messages.send(Message::Started(started)).await;
+                    None
+                }
+            };
+            let ended = match early {
+                Some(ended) => ended,
+                None => work.await,
+            };
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
@@ -346,7 +423,9 @@
     }
 
     fn stop(&mut self, id: RequestId, number: u32, why: Stop) {
-        let out = self.held.get_mut(&id).and_then(|held| held.attempts.get_mut(number as usize));
+        // What the client is being given is cut by no timer.
+        let held = self.held.get_mut(&id).filter(|held| held.streaming.is_none_or(|(at, _)| at != number));
+        let out = held.and_then(|held| held.attempts.get_mut(number as usize));
         if let Some(stop) = out.and_then(|out| out.stop.take()) {
             let _ = stop.send(why); // it may have ended just now; then that outcome is on its way
         }
--- a/crates/hillpick/src/interface.rs
+++ b/crates/hillpick/src/interface.rs
@@ -281,6 +281,8 @@
     pub cost: Option<Duration>,
     /// Whether the client says that it repeats an earlier try.
     pub client_retry: bool,
+    /// Its body is still coming: its time begins with [`Event::Arrived`], and `remaining` is what it will have then.
+    pub arriving: bool,
 }
 
 /// How an attempt ended.
@@ -298,6 +300,8 @@
     pub elapsed: Duration,
     /// Whether the request has its final answer; otherwise the node still owes it.
     pub finished: bool,
+    /// Whether its body is spent: the node has not kept it, so that it can't be sent again.
+    pub spent: bool,
     /// The server's load report, if one came along.
     pub report: Option<LoadReport>,
 }
@@ -330,6 +334,13 @@
     },
     /// A client's request has arrived. The node owes it one final answer.
     Request(NewRequest),
+    /// The last byte of an arriving request has come: its time begins.
+    Arrived {
+        /// The request.
+        id: RequestId,
+        /// Whether its body is spent.
+        spent: bool,
+    },
     /// A streamed answer has started; the attempt belongs to the client now.
     Started {
         /// The request.
@@ -338,6 +349,8 @@
         attempt: u32,
         /// The server.
         server: ServerId,
+        /// The server's load report, if one came along.
+        report: Option<LoadReport>,
     },
     /// An attempt has ended. Each send has exactly one such event.
     AttemptEnded(AttemptEnd),
--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -22,6 +22,7 @@
 const SILENT: f64 = 4.0;
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
+const ARRIVES: Duration = Duration::from_secs(1200); // the longest body at the least rate takes less
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
@@ -61,7 +62,10 @@
             Event::Settings(settings) => self.on_settings(*settings),
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Request(new) => self.on_request(new, actions),
-            Event::Started { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::Arrived { id, spent } => self.on_arrived(id, spent, actions),
+            Event::Started { id, attempt, server, report } => {
+                self.on_started(id, attempt, server, report, actions);
+            }
             Event::AttemptEnded(end) => self.on_outcome(end, actions),
             Event::ClientGone { id } => self.close(id, actions),
             Event::Timer { token: TICK } => self.on_tick(actions),
@@ -212,6 +216,9 @@
 
     /// Attempts that a request may have: fewer allowed now bind it too, more do not.
     fn most(&self, request: &Request) -> u32 {
+        if request.spent {
+            return request.attempts.len().max(1) as u32;
+        }
         request.most.min(self.settings.limits.max_attempts).max(1)
     }
 
@@ -328,7 +335,8 @@
     /// One attempt at a time, or a second one where that is allowed and the first has been silent for long.
     fn may_go(&self, request: &Request) -> bool {
         let Some(last) = request.attempts.iter().rfind(|a| a.outcome.is_none()) else { return true };
-        let silent = self.now >= last.sent + self.patience_with(request).mul_f64(0.99);
+        let silent =
+            request.arriving.is_none() && self.now >= last.sent + self.patience_with(request).mul_f64(0.99);
         self.settings.limits.parallel_attempts && request.out() < 2 && silent
     }
 
@@ -354,15 +362,18 @@
             && self.retry_tokens >= if again { 2.0 } else { 1.0 }
             && self.elsewhere(server, request);
         let hedged = self.settings.limits.parallel_attempts;
+        // A body that is still coming says nothing of its server's speed.
+        let more = more && request.arriving.is_none();
         let timeout = if more && !hedged { patience } else { left };
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
-        let crowd = self.level(server);
+        let (crowd, here) = (self.level(server), request.arriving.is_none());
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
         self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
         self.servers.entry(to).and_modify(|s| {
-            (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
+            (s.ticket, s.count) = (Duration::ZERO, s.count + 1);
+            s.out += u32::from(here);
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
         });
         actions.push(Action::Send { id, server: to, timeout });
@@ -382,6 +393,9 @@
         if attempt.outcome.replace(end.outcome).is_some() {
             return;
         }
+        request.spent |= end.spent;
+        // What was still coming was never in its server's work, and what was on its way no longer.
+        let here = u32::from(request.arriving.is_none() && request.streaming != Some(end.attempt));
         let (crowd, weight) = (attempt.crowd, request.weight);
         // What is found out long after its time tells of this node's own pause, not of the server.
         let past = self.now.as_secs_f64() - request.until.as_secs_f64();
@@ -390,7 +404,7 @@
         let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
         let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
-        self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(1));
+        self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(here));
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         self.learn(&end, overdue, tight, crowd, weight);
         if finished {
@@ -478,7 +492,9 @@
 
     /// The only place that gives a final answer: refused if to try again is harmless, else failed.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id).filter(|r| !r.done && !r.streaming) else { return };
+        let Some(request) = self.requests.get(&id).filter(|r| !r.done && r.streaming.is_none()) else {
+            return;
+        };
         if request.out() > 0 && self.now < request.until {
             return; // what is out may still be answered
         }
@@ -496,7 +512,7 @@
         self.held.retain(|held| *held != id);
         self.waits(id, false);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.done && self.settings.limits.cancel && !request.streaming {
+        if !request.done && self.settings.limits.cancel && request.streaming.is_none() {
             let out = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
             actions.extend(out.map(|(i, _)| Action::Cancel { id, attempt: i as u32 }));
         }
@@ -523,10 +539,13 @@
         self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
         let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
         let (repeat, most) = (terms.repeat, self.settings.limits.max_attempts);
-        let request = Request { class, repeat, most, weight, value, until, probed, ..Request::default() };
+        let time = until.saturating_sub(self.now);
+        let (until, arriving) = if new.arriving { (self.now + ARRIVES, Some(time)) } else { (until, None) };
+        let request =
+            Request { class, repeat, most, arriving, weight, value, until, probed, ..Request::default() };
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
-        let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
+        let most = time * if self.busy < 0.5 { 2 } else { 1 };
         if new.cost.unwrap_or_default() >= most {
             return self.finish(new.id, actions);
         }
@@ -534,6 +553,49 @@
         self.dispatch(new.id, actions);
     }
 
+    /// A request's body is here: from now on its time runs.
+    fn on_arrived(&mut self, id: RequestId, spent: bool, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        let Some(time) = request.arriving.take() else { return };
+        (request.until, request.spent) = (now + time, request.spent || spent);
+        let waits = request.out() == 0;
+        let at: Vec<_> = request.attempts.iter().filter(|a| a.outcome.is_none()).map(|a| a.to.id).collect();
+        for server in at {
+            self.servers.entry(server).and_modify(|s| s.out += 1);
+        }
+        actions.push(Action::SetTimer { after: time, token: id.0 });
+        if waits {
+            self.dispatch(id, actions);
+        }
+    }
+
+    /// The client has the first bytes of an answer: no other will do, and nothing more is sent.
+    /// What follows is bytes on their way, and no work of the server's.
+    fn on_started(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        server: ServerId,
+        report: Option<LoadReport>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.held.retain(|held| *held != id);
+        self.waits(id, false);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let out = request.attempts.get(attempt as usize).is_some_and(|a| a.outcome.is_none());
+        if !out || request.streaming.replace(attempt).is_some() {
+            return;
+        }
+        if self.settings.limits.cancel {
+            let others = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
+            let others = others.map(|(i, _)| i as u32).filter(|i| *i != attempt);
+            actions.extend(others.map(|attempt| Action::Cancel { id, attempt }));
+        }
+        self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
+        self.on_report(server, report, true);
+    }
+
     /// What a client has waited already, as far as it shows: a marked repeat whose time is not that of a
     /// first try waits for the rest of its deadline. Work for one past its aim only feeds a jam.
     fn spent(&mut self, new: &NewRequest, class: usize) -> Duration {
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -62,7 +62,12 @@
     pub probed: bool,
     /// It is held a while: for a server, or for news of how much fits.
     pub waits: bool,
-    pub streaming: bool,
+    /// The attempt whose answer its client is being given.
+    pub streaming: Option<u32>,
+    /// Its body is still coming; once that is here, an answer is worth waiting for so long.
+    pub arriving: Option<Duration>,
+    /// Its body is gone: it can't be sent again.
+    pub spent: bool,
     pub done: bool,
 }
 
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,35 +1,44 @@
 //! The backends' side: attempts, what their answers tell, and probes.
 
 use crate::outgoing::{Outgoing, Sending, Written};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hillpick::settings::Site;
 use hillpick::{LoadReport, Outcome, ServerId};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
 use sillward_core::{
-    Attempt, BODY_LIMIT, Backends, Budget, Content, Ended, Exchanged, Form, News, PROBE_TIMEOUT, READ_BUFFER,
-    Reports, Stop, Task, run,
+    Attempt, BODY_LIMIT, Backends, Broken, Budget, Content, Ended, Exchanged, Form, News, PROBE_TIMEOUT,
+    READ_BUFFER, Reports, Rest, Started, Stop, Task, WHOLE_ANSWER, run,
 };
 use sillward_log::log_peer;
 use sillward_metrics::Counters;
 use sillward_pool::{Connection, Pool, Protocol, Terms};
 use sillward_seam::Stream;
 use sillward_seam::task::{AbortHandle, spawn_local};
-use sillward_seam::time::timeout;
-use std::cell::Cell;
+use sillward_seam::time::{Instant, Sleep, sleep, timeout, timeout_at};
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind::InvalidData, ErrorKind::InvalidInput};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// So many connections in a row may turn out broken before a request was written to them.
 const BROKEN_IN_A_ROW: usize = 4;
 
+/// A backend that gives nothing of a long answer for so long has broken it.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// One of unknown length goes on after so long, however little is there: it may be a long one, of which the first bytes are
+/// what its client waits for. What comes at once is still seen whole first.
+const HOLD: Duration = Duration::from_millis(100);
+
 /// HTTP/1.1 over a connection to a backend.
 pub struct Http1;
 
@@ -65,6 +74,30 @@
     }
 }
 
+/// How far an attempt has gone.
+#[derive(Default)]
+struct Sent {
+    /// Its call counts it as out.
+    claimed: Cell<bool>,
+    /// What the connection tells that it goes out on.
+    written: RefCell<Option<Rc<Written>>>,
+}
+
+impl Sent {
+    /// Only whose last byte was written can have begun.
+    fn may_have_run(&self) -> bool {
+        self.written.borrow().as_ref().is_some_and(|written| written.is_whole())
+    }
+}
+
+/// A backend's answer.
+enum Answered {
+    /// All of it.
+    Whole(Bytes),
+    /// What is here of a long one, and how long it is where that is known.
+    Long(Bytes, Option<u64>, Incoming),
+}
+
 /// The backends that speak HTTP/1.1.
 pub struct Backend {
     pool: Rc<Pool<Http1>>,
@@ -77,8 +110,12 @@
 impl Backends for Backend {
     fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Task<Ended> {
         Box::pin(async move {
-            let written = Cell::new(false);
-            run(&attempt, &written, self.exchange(&attempt, &written), stopped).await
+            let sent = Sent::default();
+            let ended = run(&attempt, || sent.may_have_run(), self.exchange(&attempt, &sent), stopped).await;
+            if ended.outcome.never_ran() && sent.claimed.get() {
+                attempt.call.unclaim();
+            }
+            ended
         })
     }
 
@@ -106,7 +143,7 @@
         Rc::new(Backend { pool, budget, reports, counters })
     }
 
-    async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> Exchanged {
+    async fn exchange(self: &Rc<Self>, attempt: &Attempt, sent: &Sent) -> Exchanged {
         for _ in 0..BROKEN_IN_A_ROW {
             let mut connection = match self.pool.take(attempt.server).await {
                 Ok(connection) => connection,
@@ -116,44 +153,104 @@
                 continue;
             }
             // Time has passed since the decision: what was permitted then may not be any more.
-            let Some(request) = self.request(attempt, &connection.carrier.written) else {
+            let written = connection.carrier.written.clone();
+            let Some(request) = self.request(attempt, &written) else {
                 self.pool.put(connection);
                 return (Outcome::NotSent, None, None);
             };
-            written.set(true);
+            sent.claimed.set(true);
+            sent.written.replace(Some(written.clone()));
             match connection.carrier.sender.try_send_request(request).await {
-                Ok(response) => {
-                    let (mut outcome, report, body) =
-                        self.answered(attempt.server, connection, response).await;
-                    let form = attempt.call.content.form;
-                    let is_answer =
-                        |body: &Bytes| attempt.call.judge.as_ref().is_none_or(|judge| judge(body));
-                    let answer = body.filter(is_answer).map(|bytes| Content { form, bytes });
-                    if outcome == Outcome::Served && answer.is_none() {
-                        log_peer(format_args!(
-                            "server {:x}: a body that is no answer to its call was dropped",
-                            attempt.server.0
-                        ));
-                        outcome = Outcome::Error;
-                    }
-                    if outcome.never_ran() {
-                        attempt.call.unclaim();
-                    }
-                    return (outcome, report, answer);
-                }
+                Ok(response) => return self.taken_in(attempt, connection, response).await,
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
-                    Some(_) => {
+                    Some(_) if !attempt.call.is_spent() => {
                         attempt.call.unclaim();
-                        written.set(false);
+                        sent.claimed.set(false);
+                        sent.written.replace(None);
                     }
-                    None => return (broken(e.error()), None, None),
+                    // It broke before its last byte was written. A long body says little of its backend by that.
+                    _ if !written.is_whole() && attempt.call.coming.is_some() => {
+                        return (Outcome::NotSent, None, None);
+                    }
+                    _ if !written.is_whole() => return (Outcome::ConnectFailed, None, None),
+                    _ => return (broken(e.error()), None, None),
                 },
             }
         }
         (Outcome::ConnectFailed, None, None)
     }
 
+    /// Takes an attempt's answer in: whole, or as it comes.
+    async fn taken_in(
+        self: &Rc<Self>,
+        attempt: &Attempt,
+        connection: Connection<Http1>,
+        response: Response<Incoming>,
+    ) -> Exchanged {
+        let (server, call) = (attempt.server, &attempt.call);
+        let form = call.content.form;
+        // Whoever judges an answer has to see all of it.
+        let may_be_long = call.judge.is_none() && form == Form::PLAIN && call.answered;
+        let (outcome, report, body) = self.answered(server, may_be_long, response).await;
+        if outcome == Outcome::Served && !connection.carrier.written.is_whole() {
+            log_peer(format_args!(
+                "server {:x}: an answer before the end of its request was dropped",
+                server.0
+            ));
+            return (Outcome::NotSent, report, None);
+        }
+        let body = match body {
+            Some(Answered::Long(first, length, rest)) => {
+                let started = (first, length, report);
+                return (self.passed_on(attempt, connection, started, rest).await, None, None);
+            }
+            Some(Answered::Whole(body)) => {
+                // Answered before the end of its request, it is of no further use, and takes no more of the body.
+                if connection.carrier.written.is_whole() {
+                    self.pool.put(connection);
+                }
+                Some(body)
+            }
+            None => None,
+        };
+        let is_answer = |body: &Bytes| call.judge.as_ref().is_none_or(|judge| judge(body));
+        let answer = body.filter(is_answer).filter(|_| outcome == Outcome::Served);
+        if outcome == Outcome::Served && answer.is_none() {
+            log_peer(format_args!("server {:x}: a body that is no answer to its call was dropped", server.0));
+            return (Outcome::Error, report, None);
+        }
+        (outcome, report, answer.map(|bytes| Content { form, bytes }))
+    }
+
+    /// Lets a long answer go through to the client, and returns how that ended.
+    async fn passed_on(
+        self: &Rc<Self>,
+        attempt: &Attempt,
+        connection: Connection<Http1>,
+        (first, length, report): (Bytes, Option<u64>, Option<LoadReport>),
+        body: Incoming,
+    ) -> Outcome {
+        let (ended, over) = oneshot::channel();
+        let come = first.len() as u64;
+        let rest = Box::new(Passing {
+            body,
+            come,
+            length,
+            connection: Some(connection),
+            backend: self.clone(),
+            ended: Some(ended),
+            silence: Box::pin(sleep(SILENCE)),
+        });
+        let content = Content { form: Form::PLAIN, bytes: first };
+        let started = Started { id: attempt.id, number: attempt.number, content, length, report, rest };
+        if attempt.started.take().is_none_or(|start| start.send(started).is_err()) {
+            return Outcome::Cancelled; // the node has ended
+        }
+        // Without a word it was let go of: its client has left, or has another answer.
+        over.await.unwrap_or(Outcome::Cancelled)
+    }
+
     /// The request as it is written now, if it may still be: not past its time, the backend's grace or the
     /// window in which backends drop its repeats, and not once it has its answer.
     fn request(&self, attempt: &Attempt, written: &Rc<Written>) -> Option<Request<Outgoing>> {
@@ -173,12 +270,13 @@
             Some(key) => Some(value(key)?),
             None => None,
         };
-        if !call.claim(now, attempt.until) {
+        if call.is_spent() || !call.claim(now, attempt.until) {
             return None;
         }
-        let left = (attempt.until - now).as_millis().max(1) as u64;
-        let counted = Some(self.counters.clone());
-        let mut request = Request::new(Outgoing::new(call.content.bytes.clone(), written.clone(), counted));
+        // The time of a request that is still coming begins with its last byte.
+        let left = call.coming.as_ref().map_or(attempt.until - now, |coming| coming.budget);
+        let left = left.as_millis().max(1) as u64;
+        let mut request = Request::new(Outgoing::of(call, written.clone(), self.counters.clone()));
         *request.method_mut() = if call.safe && plain { Method::GET } else { Method::POST };
         *request.uri_mut() = target.into();
         let headers = request.headers_mut();
@@ -194,40 +292,81 @@
         Some(request)
     }
 
-    /// Reads the answer whole, so that a broken one is still an outcome and not a half answer to the client.
+    /// Reads an answer whole, so that a broken one is still an outcome and not half an answer to the client. Where it may
+    /// be long and is, what is here of it.
     async fn answered(
         &self,
         server: ServerId,
-        connection: Connection<Http1>,
+        may_be_long: bool,
         response: Response<Incoming>,
-    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
-        let (head, body) = response.into_parts();
+    ) -> (Outcome, Option<LoadReport>, Option<Answered>) {
+        let (head, mut body) = response.into_parts();
         let report = self.report_in(&head.headers);
+        let served = head.status == StatusCode::OK;
         let length = body.size_hint().exact();
-        // Without either, its end is the connection's, and half an answer looks like a whole one.
-        let framed = length.is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let length = length.map_or(BODY_LIMIT, |length| usize::try_from(length).unwrap_or(usize::MAX));
-        if !framed || length > BODY_LIMIT {
-            log_peer(format_args!("server {:x}: an answer of no length, or too long, was dropped", server.0));
-            return (Outcome::Error, report, None);
-        }
-        let Some(room) = self.budget.lease(length) else {
-            log_peer("no room for an answer's body: dropped");
-            return (Outcome::Error, report, None);
+        let dropped = |what: &str| {
+            log_peer(format_args!("server {:x}: {what}: dropped", server.0));
+            (Outcome::Error, report, None)
         };
-        let body = match Limited::new(body, BODY_LIMIT).collect().await {
-            Ok(body) => room.keep(body.to_bytes()),
-            Err(e) => return (e.downcast_ref().map_or(Outcome::Error, broken), None, None),
+        // Its end is the connection's, if it says so: else half an answer looks like a whole one.
+        let closes = || head.headers.get_all(CONNECTION).iter().any(says_close);
+        if length.is_none() && !head.headers.contains_key(TRANSFER_ENCODING) && !closes() {
+            return dropped("an answer of no length");
+        }
+        if length.is_some_and(|length| length > BODY_LIMIT) {
+            return dropped("an answer over 32 MiB");
+        }
+        let whole = length.is_some_and(|length| length <= WHOLE_ANSWER as u64);
+        if length.is_some() && !whole {
+            if !served || !may_be_long {
+                return dropped("a long answer where none can go on");
+            }
+            return (Outcome::Served, report, Some(Answered::Long(Bytes::new(), length, body)));
+        }
+        // One of unknown length has room as it grows.
+        let Some(mut room) = self.budget.lease(length.map_or(READ_BUFFER, |length| length as usize)) else {
+            return dropped("no room for an answer's body");
         };
-        self.pool.put(connection);
+        let (mut held, mut first) = (READ_BUFFER, BytesMut::with_capacity(length.unwrap_or(0) as usize));
+        let until = Instant::now() + HOLD;
+        loop {
+            let frame = if may_be_long && served && !whole {
+                timeout_at(until, body.frame()).await
+            } else {
+                Ok(body.frame().await)
+            };
+            let Ok(frame) = frame else {
+                let first = room.keep(first.freeze());
+                return (Outcome::Served, report, Some(Answered::Long(first, None, body)));
+            };
+            let Some(frame) = frame else { break };
+            let data = match frame {
+                Ok(frame) => frame.into_data().unwrap_or_default(), // or trailers, which say nothing here
+                Err(e) => return (broken(&e), None, None),
+            };
+            first.extend_from_slice(&data);
+            let mut fits = first.len() <= WHOLE_ANSWER;
+            while !whole && fits && first.capacity() > held {
+                fits = room.grow(READ_BUFFER);
+                held += READ_BUFFER;
+            }
+            if !fits {
+                if !served || !may_be_long {
+                    return dropped("a long answer where none can go on");
+                }
+                let first = room.keep(first.freeze());
+                return (Outcome::Served, report, Some(Answered::Long(first, None, body)));
+            }
+        }
+        let body = Answered::Whole(room.keep(first.freeze()));
         let turned_away = head.headers.get("x-rejected").is_some_and(|value| value == "1");
         match head.status {
             StatusCode::OK => (Outcome::Served, report, Some(body)),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-                (Outcome::Rejected, report, None)
+                (Outcome::Rejected, report, Some(body))
             }
             // Nothing else promises that the request never ran.
-            _ => (Outcome::Error, report, None),
+            _ => (Outcome::Error, report, Some(body)),
         }
     }
 
@@ -237,7 +376,7 @@
             Err(outcome) => return (outcome, None),
         };
         let written = connection.carrier.written.clone();
-        let mut request = Request::new(Outgoing::new(Bytes::new(), written, None));
+        let mut request = Request::new(Outgoing::empty(written));
         *request.method_mut() = Method::GET;
         let reports = self.reports.any();
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
@@ -247,10 +386,12 @@
             Ok(response) => response,
             Err(e) => return (broken(&e), None),
         };
-        let (outcome, in_head, body) = self.answered(server, connection, response).await;
+        let (outcome, in_head, body) = self.answered(server, false, response).await;
+        let Some(Answered::Whole(body)) = body else { return (outcome, in_head) };
+        self.pool.put(connection);
         let in_body = || {
-            let body = body.filter(|_| reports)?;
-            self.reports.read(std::str::from_utf8(&body).ok()?)
+            let text = std::str::from_utf8(&body).ok().filter(|_| reports && outcome == Outcome::Served)?;
+            self.reports.read(text)
         };
         (outcome, in_body().or(in_head))
     }
@@ -265,6 +406,70 @@
     }
 }
 
+fn says_close(value: &HeaderValue) -> bool {
+    value.as_bytes().split(|byte| *byte == b',').any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+/// The rest of a long answer, on its way to the client.
+struct Passing {
+    body: Incoming,
+    /// Bytes so far, and in all where that is known.
+    come: u64,
+    length: Option<u64>,
+    /// Back to the pool with the last byte.
+    connection: Option<Connection<Http1>>,
+    backend: Rc<Backend>,
+    ended: Option<oneshot::Sender<Outcome>>,
+    /// When the backend has been silent for too long.
+    silence: Pin<Box<Sleep>>,
+}
+
+impl Passing {
+    fn end(&mut self, outcome: Outcome) {
+        let connection = self.connection.take();
+        if let Some(connection) = connection.filter(|_| outcome == Outcome::Served) {
+            self.backend.pool.put(connection);
+        }
+        if let Some(ended) = self.ended.take() {
+            let _ = ended.send(outcome); // or the node has ended
+        }
+    }
+}
+
+impl Rest for Passing {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        loop {
+            let outcome = match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    self.silence.as_mut().reset(Instant::now() + SILENCE);
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.come += data.len() as u64;
+                    // Whoever takes it asks for no more than its length.
+                    if Some(self.come) == self.length {
+                        self.end(Outcome::Served);
+                    }
+                    if self.come <= BODY_LIMIT {
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                    Outcome::Error
+                }
+                Poll::Ready(Some(Err(e))) => broken(&e),
+                Poll::Ready(None) => {
+                    self.end(Outcome::Served);
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => match self.silence.as_mut().poll(cx) {
+                    Poll::Ready(()) => Outcome::TimedOut,
+                    Poll::Pending => return Poll::Pending,
+                },
+            };
+            log_peer(format_args!("a long answer broke after {} bytes: {outcome:?}", self.come));
+            self.end(outcome);
+            return Poll::Ready(Some(Err(Broken)));
+        }
+    }
+}
+
 /// What an answer that did not come whole says of its backend. Where the connection ended, the process may have
 /// died. Where the bytes made no sense, something answers there: one such answer is a failure like another, and
 /// no reason to leave the backend out.
@@ -311,16 +516,24 @@
                 call_id: Bytes::from_static(b"1"),
                 idempotency_key: None,
                 content: Content::plain(Bytes::new()),
+                coming: None,
                 judge: None,
                 answered: true,
-                deadline: now + MINUTE,
+                deadline: Cell::new(now + MINUTE),
                 window: Some(MINUTE),
                 first_byte: Cell::new(None),
                 over: Cell::new(false),
                 out: Cell::new(0),
             };
             let (until, call) = (now + MINUTE, Rc::new(call));
-            let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, call };
+            let mut attempt = Attempt {
+                id: RequestId(1),
+                number: 0,
+                server: SERVER,
+                until,
+                call,
+                started: Cell::default(),
+            };
             by(&pool, &mut attempt, news(ListKind::Changes), now);
             let (_stop, stopped) = oneshot::channel();
             let served = spawn_local(async move {
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -1,16 +1,17 @@
 //! The clients' side: keeps their connections, takes requests, and writes the final answers that the node gives.
 
-use crate::request::{self, Bad};
+use crate::heads::{Heads, Overseen};
+use crate::reply::Reply;
+use crate::request::{self, Arriving, Bad, First};
 use crate::socket::Socket;
 use bytes::Bytes;
 use hillpick::{NewRequest, Repeat};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use sillward_core::{Answer, BODY_LIMIT, Budget, Call, Content, Intake, Live, READ_BUFFER};
+use hyper::{Request, Response, StatusCode, Version};
+use sillward_core::{Answer, Budget, Call, Coming, Content, Feed, Intake, Live, READ_BUFFER};
 use sillward_listener::{Client, Door, LINGER, Life, Serve};
 use sillward_log::log_peer;
 use sillward_metrics::{Counters, End};
@@ -22,9 +23,13 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// How much of a body is read on after its request was turned down.
-const READ_PAST: usize = 16 * BODY_LIMIT;
+const READ_PAST: usize = 1 << 20;
+/// A body takes so long at the most: 32 MiB at the least rate, and what a slow backend adds.
+const LONGEST_UPLOAD: Duration = Duration::from_secs(1200);
+
 pub struct Front {
     live: Rc<Live>,
     intake: Intake,
@@ -51,50 +56,74 @@
 
     async fn respond(
         self: Rc<Self>,
-        client: &Client,
+        client: Rc<Client>,
+        heads: Rc<Heads>,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let until = client.opened();
-        let (mut response, last) = match self.handle(request, until).await {
-            Ok(response) => (response, self.door.is_closing()),
-            // After what is malformed nobody can tell where the next request begins.
-            Err((status, text)) => (plain(status, Bytes::from_static(text.as_bytes())), true),
+    ) -> Result<Response<Reply>, Infallible> {
+        client.opened();
+        let http_10 = request.version() < Version::HTTP_11;
+        let answer = self.handle(request, &heads).await;
+        // After what is malformed nobody can tell where the next request begins, nor after what was not read whole.
+        let last = self.door.is_closing() || matches!(answer, Err(_) | Ok(Answered::Unread(_)));
+        let mut response = match answer {
+            Ok(Answered::Read(Answer::Streamed(content, length, rest))) if length.is_some() || !http_10 => {
+                let door = self.door.clone();
+                // Its client asks for nothing, and is not idle, before that.
+                let over = Box::new(move || door.done(&client, last));
+                Response::new(Reply::long(content.bytes, length, rest, over))
+            }
+            others => {
+                self.door.done(&client, last);
+                match others {
+                    Ok(Answered::Read(answer) | Answered::Unread(answer)) => worded(answer),
+                    Ok(Answered::Health(status)) => plain(status, Bytes::new()),
+                    Err((status, text)) => plain(status, Bytes::from_static(text.as_bytes())),
+                }
+            }
         };
-        self.door.done(client, last);
         if last {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
-    async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
+    async fn handle(&self, request: Request<Incoming>, heads: &Heads) -> Result<Answered, Bad> {
         let (head, body) = request.into_parts();
         let site = self.live.get();
         let ready_asked = head.uri.path() == "/health/ready";
-        let checked = match request::length(&head, &body) {
+        let checked = match request::framing(&head, &body, heads) {
             Ok(_) if ready_asked => {
-                let status =
-                    if self.life.healthy() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-                return Ok(plain(status, Bytes::new()));
+                let healthy = self.life.healthy();
+                return Ok(Answered::Health(if healthy {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                }));
             }
-            Ok(length) => request::check(&site, head, length),
+            Ok(framing) => request::check(&site, head, framing).map(|checked| (checked, framing)),
             Err(bad) => Err(bad),
         };
-        let request = match checked {
-            Ok(request) => request,
+        let (request, framing) = match checked {
+            Ok(checked) => checked,
             Err(bad) => {
                 spawn_local(request::drain(body, READ_PAST, Instant::now() + LINGER / 2));
                 return Err(bad);
             }
         };
-        let Some(room) = self.budget.lease(request.length) else {
-            log_peer("no room for a request's body: refused");
-            self.counters.ended(request.class, End::Dropped);
-            return Ok(refusal(site.settings.limits.max_retry_after));
-        };
         let class = request.class;
         let failed = |_: &Bad| self.counters.ended(class, End::BadGateway);
-        let body = request::read(body, request.length, room, until).await.inspect_err(failed)?;
+        let mut arriving = Arriving::new(body);
+        let (bytes, more) = match arriving.first(framing, &self.budget).await.inspect_err(failed)? {
+            First::Whole(bytes) => (bytes, false),
+            First::More(bytes) => (bytes, true),
+            First::NoRoom => {
+                log_peer("no room for a request's body: refused");
+                self.counters.ended(class, End::Dropped);
+                spawn_local(request::drain(arriving.into_rest(), READ_PAST, Instant::now() + LINGER / 2));
+                let after = site.settings.limits.max_retry_after;
+                return Ok(Answered::Unread(Answer::Refused { after, never_ran: true }));
+            }
+        };
         let at = self.intake.clock().now();
         // Its own, or another client's: that one's attempts must not be taken for this one's.
         let Some(_open) = Open::enter(&self.open, &request.call_id) else {
@@ -102,7 +131,7 @@
             return Err(conflict).inspect_err(failed);
         };
         let new = NewRequest {
-            class: request.class,
+            class,
             tenant: request.tenant,
             key: request.key,
             remaining: request.budget,
@@ -110,42 +139,92 @@
             client_retry: request.client_retry,
             ..NewRequest::default()
         };
-        let bytes = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
+        let (coming, feed) = match more.then(|| Coming::new(framing.length(), request.budget)) {
+            Some((coming, feed)) => (Some(coming), Some(feed)),
+            None => (None, None),
+        };
+        let copied = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
         let call = Call {
-            class: request.class,
-            safe: site.settings.classes[request.class].repeat == Repeat::Safe,
+            class,
+            safe: site.settings.classes[class].repeat == Repeat::Safe,
             target: Bytes::copy_from_slice(request.path.as_str().as_bytes()),
-            call_id: bytes(&request.call_id),
-            idempotency_key: request.idempotency_key.as_ref().map(bytes),
-            content: Content::plain(body),
+            call_id: copied(&request.call_id),
+            idempotency_key: request.idempotency_key.as_ref().map(copied),
+            content: Content::plain(bytes),
+            coming,
             judge: None,
             answered: true,
-            deadline: at + request.budget,
+            deadline: Cell::new(at + if more { LONGEST_UPLOAD } else { request.budget }),
             window: request.window,
             first_byte: Cell::new(None),
             over: Cell::new(false),
             out: Cell::new(0),
         };
-        let Some(answer) = self.intake.submit(new, call, at).await else {
-            return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
+        let answer = match feed {
+            None => self.intake.submit(new, call, at).await,
+            Some(feed) => {
+                let (told, arrived) = oneshot::channel();
+                let arrived = async {
+                    match arrived.await {
+                        Ok(at) => at,
+                        Err(_) => std::future::pending().await, // the body broke, or nobody takes it
+                    }
+                };
+                let submitted = self.intake.submit_arriving(new, call, at, arrived);
+                tokio::select! {
+                    biased;
+                    answer = submitted => answer,
+                    bad = self.pass_on(&mut arriving, feed, told) => return Err(bad).inspect_err(failed),
+                }
+            }
         };
-        Ok(match answer {
-            Answer::Served(content) => plain(StatusCode::OK, content.bytes),
-            Answer::Refused { after, .. } => refusal(after),
-            Answer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
-            Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
-        })
+        let answer = answer.unwrap_or(Answer::Failed);
+        if arriving.is_ended() {
+            return Ok(Answered::Read(answer));
+        }
+        spawn_local(request::drain(arriving.into_rest(), READ_PAST, Instant::now() + LINGER / 2));
+        Ok(Answered::Unread(answer))
+    }
+
+    /// Passes a body on as it comes, and tells when all of it has; returns only if it breaks.
+    async fn pass_on(&self, body: &mut Arriving, feed: Feed, told: oneshot::Sender<Duration>) -> Bad {
+        loop {
+            match body.next().await {
+                Ok(Some(bytes)) => {
+                    if !feed.push(bytes).await {
+                        break; // the attempt is over; an answer is on its way
+                    }
+                }
+                Ok(None) => {
+                    let _ = told.send(self.intake.clock().now());
+                    feed.finish().await;
+                    break;
+                }
+                Err(bad) => return bad,
+            }
+        }
+        std::future::pending().await
     }
 }
 
+/// What a client is to be told.
+enum Answered {
+    Health(StatusCode),
+    /// Of a request that was read whole.
+    Read(Answer),
+    /// Of one that was not.
+    Unread(Answer),
+}
+
 impl Serve for Front {
     async fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) {
-        let service = service_fn(|request| self.clone().respond(&client, request));
+        let heads = Rc::<Heads>::default();
+        let service = service_fn(|request| self.clone().respond(client.clone(), heads.clone(), request));
         let connection = http1::Builder::new()
             // Its time-out would run on idle connections too: the door tells them apart.
             .header_read_timeout(None)
             .max_buf_size(READ_BUFFER)
-            .serve_connection(Socket(stream), service);
+            .serve_connection(Overseen::new(Socket(stream), heads.clone()), service);
         let mut connection = std::pin::pin!(connection);
         // Biased: a request that has come is read before the connection is told to close.
         tokio::select! {
@@ -177,7 +256,17 @@
     }
 }
 
-fn refusal(after: Option<Duration>) -> Response<Full<Bytes>> {
+fn worded(answer: Answer) -> Response<Reply> {
+    match answer {
+        Answer::Served(content) => plain(StatusCode::OK, content.bytes),
+        Answer::Refused { after, .. } => refusal(after),
+        Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
+        // An answer of unknown length would look whole to a client of HTTP/1.0 wherever it broke.
+        Answer::Failed | Answer::Streamed(..) => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
+    }
+}
+
+fn refusal(after: Option<Duration>) -> Response<Reply> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
     if let Some(Ok(after)) = after.map(HeaderValue::try_from) {
@@ -186,8 +275,8 @@
     response
 }
 
-fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn plain(status: StatusCode, body: Bytes) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod backend;
 mod front;
+mod heads;
 mod outgoing;
+mod reply;
 mod request;
 mod socket;
 
--- a/crates/http1/src/outgoing.rs
+++ b/crates/http1/src/outgoing.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
+use sillward_core::{Call, Flow, Rest};
 use sillward_metrics::Counters;
 use sillward_seam::Stream;
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -26,6 +26,11 @@
 }
 
 impl Written {
+    /// Whether the kernel has all of the request: before, no backend can have begun it.
+    pub fn is_whole(&self) -> bool {
+        self.whole.get()
+    }
+
     fn begin(&self, counted: Option<Rc<Counters>>) {
         self.taken.set(false);
         self.whole.set(false);
@@ -43,40 +48,81 @@
 
 /// A request's body on its way.
 pub struct Outgoing {
+    /// What is here of it.
     bytes: Bytes,
+    /// The call whose rest follows.
+    call: Option<Rc<Call>>,
+    /// That rest, from when it is taken.
+    flow: Option<Flow>,
+    /// Bytes that are still to go, where that is known.
+    left: Option<u64>,
     written: Rc<Written>,
 }
 
 impl Outgoing {
-    /// A body on a connection whose last request is over.
-    pub fn new(bytes: Bytes, written: Rc<Written>, counted: Option<Rc<Counters>>) -> Self {
-        written.begin(counted);
-        written.taken.set(bytes.is_empty());
-        Outgoing { bytes, written }
+    /// Nothing, on a connection whose last request is over.
+    pub fn empty(written: Rc<Written>) -> Self {
+        written.begin(None);
+        written.taken.set(true);
+        Outgoing { bytes: Bytes::new(), call: None, flow: None, left: Some(0), written }
+    }
+
+    /// A call's, on a connection whose last request is over.
+    pub fn of(call: &Rc<Call>, written: Rc<Written>, counters: Rc<Counters>) -> Self {
+        written.begin(Some(counters));
+        let bytes = call.content.bytes.clone();
+        let left = call.coming.as_ref().map_or(Some(bytes.len() as u64), |coming| coming.length);
+        let more = call.coming.is_some().then(|| call.clone());
+        written.taken.set(left == Some(0));
+        Outgoing { bytes, call: more, flow: None, left, written }
+    }
+
+    fn goes(&mut self, bytes: Bytes) -> Frame<Bytes> {
+        self.left = self.left.map(|left| left.saturating_sub(bytes.len() as u64));
+        if self.left == Some(0) {
+            self.written.taken.set(true);
+        }
+        Frame::data(bytes)
     }
 }
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if self.bytes.is_empty() {
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = self.get_mut();
+        if !this.bytes.is_empty() {
+            let bytes = std::mem::take(&mut this.bytes);
+            return Poll::Ready(Some(Ok(this.goes(bytes))));
+        }
+        let Some(coming) = this.call.as_ref().and_then(|call| call.coming.as_ref()) else {
             return Poll::Ready(None);
+        };
+        if this.flow.is_none() {
+            this.flow = coming.take();
         }
-        self.written.taken.set(true);
-        Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.bytes)))))
+        let broken = || io::Error::other("the client's body broke");
+        let Some(flow) = &mut this.flow else { return Poll::Ready(Some(Err(broken()))) };
+        Poll::Ready(match ready!(flow.poll_next(cx)) {
+            Some(Ok(bytes)) => Some(Ok(this.goes(bytes))),
+            Some(Err(_)) => Some(Err(broken())),
+            None => {
+                this.written.taken.set(true);
+                None
+            }
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty()
+        self.left == Some(0)
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.len() as u64)
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -1,5 +1,6 @@
 //! What a client's request must be to be taken: the checks of its head, and the reading of its body.
 
+use crate::heads::Heads;
 use bytes::{Bytes, BytesMut};
 use hillpick::Repeat;
 use hillpick::settings::Site;
@@ -9,8 +10,9 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
-use sillward_core::{BODY_LIMIT, Lease, key_number};
-use sillward_seam::time::{Instant, timeout_at};
+use sillward_core::{BODY_LIMIT, Budget, KEPT_BODY, READ_BUFFER, WHOLE_ANSWER, key_number};
+use sillward_log::log_peer;
+use sillward_seam::time::{Instant, timeout, timeout_at};
 use std::time::Duration;
 
 const LONGEST_BUDGET_MS: u64 = 600_000;
@@ -22,6 +24,15 @@
 pub type Bad = (StatusCode, &'static str);
 
 const BAD: StatusCode = StatusCode::BAD_REQUEST;
+const TOO_LONG: Bad = (StatusCode::PAYLOAD_TOO_LARGE, "body over 32 MiB");
+/// A body of known length up to this is short: as long as an answer that is read whole.
+const SHORT: usize = WHOLE_ANSWER;
+/// A client that sends nothing of a body for so long is turned down: whoever is bad is rid of in 3 s.
+const SILENCE: Duration = Duration::from_secs(2);
+/// A client may keep this node waiting for so long beside the time that its bytes take at the least rate: half of what
+/// slow ones are promised, in bytes a second.
+const PATIENCE: Duration = Duration::from_secs(2);
+const LEAST_RATE: f64 = 32_000.0;
 
 /// A head that has been checked, in the module's words and in those that go on.
 pub struct Checked {
@@ -35,23 +46,48 @@
     pub window: Option<Duration>,
     pub cost: Option<Duration>,
     pub client_retry: bool,
-    pub length: usize,
+}
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// After so many bytes.
+    Length(u64),
+    /// With its last chunk.
+    Chunked,
+}
+
+impl Framing {
+    /// Bytes in all, where that is known.
+    pub fn length(self) -> Option<u64> {
+        match self {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked => None,
+        }
+    }
 }
 
 /// Checks how the body is framed, from the head alone: nobody need send it first.
-pub fn length(head: &Parts, body: &Incoming) -> Result<usize, Bad> {
-    // With a Content-Length beside it, it may hide a second request in the body. No client of the service
-    // needs it, so none has to be told apart.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding, please"));
+pub fn framing(head: &Parts, body: &Incoming, heads: &Heads) -> Result<Framing, Bad> {
+    // It may hide a second request in the body.
+    if heads.is_ambiguous() {
+        return Err((BAD, "a head that frames its body twice"));
+    }
+    if let Some(coding) = head.headers.get(TRANSFER_ENCODING) {
+        if !coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            return Err((StatusCode::NOT_IMPLEMENTED, "no coding but chunked, please"));
+        }
+        return Ok(Framing::Chunked);
     }
     let length = body.size_hint().exact().ok_or((BAD, "no length"))?;
-    let length = usize::try_from(length).ok().filter(|length| *length <= BODY_LIMIT);
-    length.ok_or((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"))
+    if length > BODY_LIMIT {
+        return Err(TOO_LONG);
+    }
+    Ok(Framing::Length(length))
 }
 
 /// Reads a head as the protocol words it. What does not fit never reaches a backend.
-pub fn check(site: &Site, head: Parts, length: usize) -> Result<Checked, Bad> {
+pub fn check(site: &Site, head: Parts, framing: Framing) -> Result<Checked, Bad> {
     let path = head.uri.path_and_query().ok_or((BAD, "no path"))?.clone();
     let mut parts = path.path().strip_prefix('/').ok_or((BAD, "no path"))?.split('/');
     let name = parts.next().unwrap_or_default();
@@ -67,7 +103,7 @@
     if head.method != method {
         return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
     }
-    if method == Method::GET && length > 0 {
+    if method == Method::GET && framing != Framing::Length(0) {
         return Err((BAD, "a body where none belongs"));
     }
     let window = match terms.repeat {
@@ -97,27 +133,103 @@
         window,
         cost: cost.map(Duration::from_micros),
         client_retry: head.headers.get("x-again").is_some_and(|value| value == "1"),
-        length,
     })
 }
 
-/// Reads a body of that length, for which there is room, before its time is up.
-pub async fn read(mut body: Incoming, length: usize, room: Lease, until: Instant) -> Result<Bytes, Bad> {
-    if length == 0 {
-        return Ok(Bytes::new());
+/// A body that is being read, at its client's pace.
+pub struct Arriving {
+    body: Incoming,
+    /// How long this node has waited for it in all, and what has come.
+    waited: Duration,
+    received: u64,
+    ended: bool,
+}
+
+/// How far a body was read at first.
+pub enum First {
+    /// To its end.
+    Whole(Bytes),
+    /// To what is kept of a long one.
+    More(Bytes),
+    /// There was no room for it.
+    NoRoom,
+}
+
+impl Arriving {
+    pub fn new(body: Incoming) -> Self {
+        Arriving { body, waited: Duration::ZERO, received: 0, ended: false }
     }
-    let mut whole = BytesMut::with_capacity(length);
-    while let Some(frame) =
-        timeout_at(until, body.frame()).await.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))?
-    {
-        let frame = frame.map_err(|_| (BAD, "broken body"))?;
-        let Ok(data) = frame.into_data() else { continue };
-        whole.extend_from_slice(&data);
+
+    /// The next bytes; `None` at the end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Bad> {
+        loop {
+            // How long the client may still take: back-pressure from a backend is not its time.
+            let due = PATIENCE + Duration::from_secs_f64(self.received as f64 / LEAST_RATE);
+            let until = due.saturating_sub(self.waited).min(SILENCE);
+            let asked = Instant::now();
+            let frame = timeout(until, self.body.frame()).await;
+            self.waited += asked.elapsed();
+            let frame = frame.map_err(|_| {
+                log_peer(format_args!(
+                    "a client's body was too slow: {} bytes in {:?} of waiting",
+                    self.received, self.waited
+                ));
+                (StatusCode::REQUEST_TIMEOUT, "too slow")
+            })?;
+            let Some(frame) = frame else {
+                self.ended = true;
+                return Ok(None);
+            };
+            let Ok(data) = frame.map_err(|_| (BAD, "broken body"))?.into_data() else { continue };
+            self.received += data.len() as u64;
+            if self.received > BODY_LIMIT {
+                return Err(TOO_LONG);
+            }
+            return Ok(Some(data));
+        }
     }
-    if whole.len() != length {
-        return Err((BAD, "broken body"));
+
+    /// Reads what is kept of it, or all.
+    pub async fn first(&mut self, framing: Framing, budget: &Budget) -> Result<First, Bad> {
+        let length = framing.length().and_then(|length| usize::try_from(length).ok());
+        if length == Some(0) {
+            self.ended = true;
+            return Ok(First::Whole(Bytes::new()));
+        }
+        // A short one has its room before it is read; a long one's grows, and is what the short ones leave.
+        let short = length.filter(|length| *length <= SHORT);
+        let room = match short {
+            Some(length) => budget.lease(length),
+            None => budget.lease_spare(SHORT),
+        };
+        let Some(mut room) = room else { return Ok(First::NoRoom) };
+        let mut held = short.unwrap_or(SHORT);
+        let mut whole = BytesMut::with_capacity(short.unwrap_or(READ_BUFFER));
+        while let Some(data) = self.next().await? {
+            whole.extend_from_slice(&data);
+            // What goes on growing doubles its buffer.
+            while short.is_none() && whole.capacity() > held && room.grow_spare(SHORT) {
+                held += SHORT;
+            }
+            if short.is_none() && (whole.len() >= KEPT_BODY || whole.capacity() > held) {
+                return Ok(First::More(room.keep(whole.freeze())));
+            }
+        }
+        if short.is_some_and(|length| whole.len() != length) {
+            return Err((BAD, "broken body"));
+        }
+        Ok(First::Whole(room.keep(whole.freeze())))
+    }
+
+    /// Whether all of it has been read.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// What has not been read.
+    pub fn into_rest(self) -> Incoming {
+        self.body
     }
-    Ok(room.keep(whole.freeze()))
 }
 
 /// Reads on after the answer to a bad request, for a while and so far only: closed with bytes unread, the
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -18,22 +18,31 @@
 /// The stream, for hyper.
 pub struct Socket(pub Stream);
 
-impl Read for Socket {
-    fn poll_read(
-        self: Pin<&mut Self>,
+impl Socket {
+    /// Reads for hyper, and shows what came.
+    pub(crate) fn read(
+        &self,
         cx: &mut Context<'_>,
         mut to: ReadBufCursor<'_>,
+        shown: impl FnOnce(&[u8]),
     ) -> Poll<io::Result<()>> {
         // Clean bytes for each read, and for each look that finds none, cost more than the read.
         CHUNKS.with_borrow_mut(|chunk| {
             let most = to.remaining().min(CHUNK);
             let count = ready!(self.0.poll_read(cx, &mut chunk[..most]))?;
+            shown(&chunk[..count]);
             to.put_slice(&chunk[..count]);
             Poll::Ready(Ok(()))
         })
     }
 }
 
+impl Read for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        self.read(cx, to, |_| {})
+    }
+}
+
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
         self.0.poll_write(cx, &[io::IoSlice::new(from)])
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -21,9 +21,12 @@
 /// Out of service, a connection that is idle is closed once it has been for so long: one that was just opened is
 /// about to ask.
 const PARTING_IDLE: Duration = Duration::from_millis(300);
-/// How long a client may take from its connection, or from the first byte of a later request, to the last byte
-/// of a request: who takes longer waits for no answer. Whoever is bad is rid of in 3 s, watch and all.
-pub const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a client may take from its connection, or from the first byte of a later request, to the end of the
+/// request's head, or to the last byte where a front takes requests whole. A good one may take 2 s; whoever is bad is rid
+/// of in 3 s, watch and all.
+pub const READ_TIMEOUT: Duration = Duration::from_millis(2400);
+/// A client that takes nothing of an answer for so long is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 /// A connection on which no request is open is kept for so long: its client may ask again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection that was told to close, and has no request open, is closed from here after that.
@@ -92,9 +95,17 @@
     fn look(&self, now: Instant) {
         let begun = if self.asked.get() { self.socket.heard() } else { Some(self.accepted) };
         let late = begun.is_some_and(|begun| now > begun + READ_TIMEOUT);
+        let blocked = self.socket.blocked();
+        if blocked.is_some_and(|since| now > since + WRITE_TIMEOUT) {
+            return self.end.notify_one();
+        }
         match self.stage.get() {
-            Stage::Closing(since) if now > since + LINGER => self.end.notify_one(),
-            Stage::Idle(_) if late && self.socket.is_quiet() => self.end.notify_one(),
+            // What it still takes of its answer is not cut off.
+            Stage::Closing(since) if now > since + LINGER && blocked.is_none() => self.end.notify_one(),
+            Stage::Idle(_) if late && self.socket.is_quiet() => {
+                log_peer("a client's head was too slow");
+                self.end.notify_one();
+            }
             Stage::Idle(since) if !late && now > since + IDLE_TIMEOUT => self.close(),
             _ => {}
         }
@@ -104,7 +115,9 @@
     /// they make room: a crowd of the silent takes no place from those that are served.
     fn idle(&self) -> Option<(bool, Instant)> {
         match self.stage.get() {
-            Stage::Idle(since) if self.socket.heard().is_none() => Some((self.asked.get(), since)),
+            Stage::Idle(since) if self.socket.heard().is_none() && self.socket.blocked().is_none() => {
+                Some((self.asked.get(), since))
+            }
             _ => None,
         }
     }
@@ -320,7 +333,12 @@
         });
         match closing.min_by_key(|(since, _)| *since) {
             // It will leave by itself in a moment, or it has had its moment.
-            Some((since, client)) if now > since + ACCEPT_PAUSE => return client.end.notify_one(),
+            Some((since, client)) if now > since + ACCEPT_PAUSE => {
+                if client.socket.blocked().is_none() {
+                    client.end.notify_one();
+                }
+                return;
+            }
             Some(_) => return,
             None => {}
         }
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -15,7 +15,7 @@
 
 /// Monotonic time, and waiting for it.
 pub mod time {
-    pub use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+    pub use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout, timeout_at};
 }
 
 /// Signals that the process is sent.
--- a/crates/seam/src/stream.rs
+++ b/crates/seam/src/stream.rs
@@ -18,6 +18,8 @@
     stream: TcpStream,
     /// When the first bytes came since `Handle::listen_anew`.
     heard: Cell<Option<Instant>>,
+    /// Since when the peer has taken nothing of what waits to be written.
+    blocked: Cell<Option<Instant>>,
 }
 
 impl Handle {
@@ -26,6 +28,11 @@
         self.0.upgrade()?.heard.get()
     }
 
+    /// Since when the peer has taken nothing of what waits to be written; `None` if nothing waits.
+    pub fn blocked(&self) -> Option<Instant> {
+        self.0.upgrade()?.blocked.get()
+    }
+
     /// Forgets when bytes came.
     pub fn listen_anew(&self) {
         if let Some(shared) = self.0.upgrade() {
@@ -44,7 +51,7 @@
     /// Takes a stream over, and sends what is written to it without delay.
     pub fn new(stream: TcpStream) -> (Self, Handle) {
         let _ = stream.set_nodelay(true);
-        let shared = Rc::new(Shared { stream, heard: Cell::default() });
+        let shared = Rc::new(Shared { stream, heard: Cell::default(), blocked: Cell::default() });
         let handle = Handle(Rc::downgrade(&shared));
         (Stream(shared), handle)
     }
@@ -71,7 +78,13 @@
     /// # Errors
     /// The connection is broken; none of these bytes were taken.
     pub fn poll_write(&self, cx: &mut Context<'_>, from: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
-        self.0.stream.poll_give(cx, from)
+        let given = self.0.stream.poll_give(cx, from);
+        let blocked = match &given {
+            Poll::Pending => self.0.blocked.get().or_else(|| Some(Instant::now())),
+            Poll::Ready(_) => None,
+        };
+        self.0.blocked.set(blocked);
+        given
     }
 
     /// Says to the peer that nothing more will come.
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -81,7 +81,7 @@
     fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Task<Ended> {
         Box::pin(async move {
             let written = Cell::new(false);
-            run(&attempt, &written, self.exchange(&attempt, &written), stopped).await
+            run(&attempt, || written.get(), self.exchange(&attempt, &written), stopped).await
         })
     }
 
@@ -195,6 +195,9 @@
     /// The call's frame in these backends' encoding; `None` if it can't be worded there, or would not carry the
     /// key by which they know a repeat.
     fn worded(&self, call: &Call, seqid: i32) -> Option<Vec<u8>> {
+        if call.coming.is_some() {
+            return None; // a frame begins with its length and holds a whole message
+        }
         let (bounds, encoding) = (&self.terms.bounds, self.terms.encoding);
         if call.content.form == Form::PLAIN {
             let terms = self.terms.http_calls.iter().find(|terms| terms.class == call.class)?;
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -167,7 +167,8 @@
         judge: Some(judge(&bytes, terms)),
         answered: message.head.kind != Kind::Oneway,
         content: Content { form, bytes: bytes.clone() },
-        deadline: now + budget,
+        coming: None,
+        deadline: Cell::new(now + budget),
         window,
         first_byte: Cell::new(None),
         over: Cell::new(false),
@@ -219,7 +220,8 @@
             // A reply that is compact in time may be too large for a frame in binary.
             reworded.unwrap_or_else(|_| failed())
         }
-        Answer::Served(_) | Answer::Failed => failed(),
+        // A caller judges its answers whole, so that none comes in parts.
+        Answer::Served(_) | Answer::Streamed(..) | Answer::Failed => failed(),
         Answer::Refused { after, never_ran } => {
             let ms = after.map(|after| i32::try_from(after.as_millis()).unwrap_or(i32::MAX));
             let ran =
--- /dev/null
+++ b/tests/bodies.rs
@@ -0,0 +1,499 @@
+//! Long bodies, slow peers and all forms of HTTP/1.1, over loopback sockets and byte by byte.
+
+use rig::peers::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const LONG: u64 = 20_000;
+const MIB: usize = 1 << 20;
+
+/// Bytes that tell where they belong.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|i| (i / 7 % 251) as u8).collect()
+}
+
+/// A backend whose connections are played by hand.
+struct Raw {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Raw {
+    /// `play` gets each connection with its number.
+    fn start(play: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let connections = Arc::new(AtomicUsize::new(0));
+        let (count, play) = (connections.clone(), Arc::new(play));
+        spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (number, play) = (count.fetch_add(1, Ordering::SeqCst), play.clone());
+                spawn(move || play(number, stream));
+            }
+        });
+        Raw { address, connections }
+    }
+
+    /// Answers each request with these bytes.
+    fn answering(bytes: Vec<u8>) -> Self {
+        Raw::start(move |_, mut stream| {
+            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+            while request(&mut reader).is_some() && stream.write_all(&bytes).is_ok() {}
+        })
+    }
+}
+
+/// Reads a request of any framing: its head and its body.
+fn request(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let head = head(reader)?;
+    let low = head.to_lowercase();
+    let mut body = Vec::new();
+    if low.contains("transfer-encoding: chunked") {
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            let size = usize::from_str_radix(line.trim().split(';').next()?, 16).ok()?;
+            let mut chunk = vec![0; size + 2];
+            reader.read_exact(&mut chunk).ok()?;
+            body.extend_from_slice(&chunk[..size]);
+            if size == 0 {
+                break;
+            }
+        }
+    } else if let Some(at) = low.find("content-length: ") {
+        body.resize(low[at + 16..].lines().next()?.trim().parse().ok()?, 0);
+        reader.read_exact(&mut body).ok()?;
+    }
+    Some((head, body))
+}
+
+fn head(reader: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        reader.read_line(&mut head).ok().filter(|n| *n > 0)?;
+    }
+    Some(head)
+}
+
+fn serving_raw(backends: &[&Raw]) -> (Node, Watch, Discovery) {
+    let (node, mut watch, discovery) = serving_operators(&settings(LONG, ""), &[]);
+    let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("r-{i}"), b.address, "in_service"));
+    watch.line(&list(9, true, &entries.collect::<Vec<_>>()));
+    until(|| node.figure("node.known_backends") == backends.len() as u64, "the list");
+    (node, watch, discovery)
+}
+
+fn post(class: &str, framing: &str) -> String {
+    format!("POST /{class}/1 HTTP/1.1\r\nHost: s\r\n{}{framing}\r\n", common(LONG))
+}
+
+fn connect(node: &Node) -> TcpStream {
+    let stream = TcpStream::connect(node.address).expect("the node accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream
+}
+
+/// Status and body of an answer of any framing; the body is an error if the client can tell that it is not whole.
+fn answer(stream: &TcpStream) -> (u16, Result<Vec<u8>, String>) {
+    let mut reader = BufReader::new(stream);
+    let head = loop {
+        let head = head(&mut reader).expect("a head");
+        if !head.starts_with("HTTP/1.1 1") {
+            break head;
+        }
+    };
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
+    let rest = head.split_once("\r\n").map_or("", |(_, rest)| rest);
+    let text = format!("POST / HTTP/1.1\r\n{rest}");
+    let body = request(&mut BufReader::new(std::io::Cursor::new(text.into_bytes()).chain(reader)));
+    (status, body.map(|(_, body)| body).ok_or_else(|| "not whole".to_owned()))
+}
+
+fn with_length(body: &[u8]) -> Vec<u8> {
+    [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(), body].concat()
+}
+
+fn chunked(body: &[u8], size: usize, end: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    for chunk in body.chunks(size) {
+        out.extend_from_slice(format!("{:x};part=\"a;b\"\r\n", chunk.len()).as_bytes());
+        out.extend_from_slice(chunk);
+        out.extend_from_slice(b"\r\n");
+    }
+    out.extend_from_slice(format!("0\r\n{end}\r\n").as_bytes());
+    out
+}
+
+// ---- Answers ------------------------------------------------------------------------------------
+
+#[test]
+fn answers_of_every_length_and_framing_come_unchanged() {
+    for length in [0, 1, 64 * 1024, 64 * 1024 + 1, 3 * MIB, 32 * MIB] {
+        let body = pattern(length);
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let close = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+        let forms = [
+            with_length(&body),
+            [&head[..], &chunked(&body, 40_000, "X-Sum: 1\r\n")].concat(),
+            [&close[..], &body].concat(),
+        ];
+        for (form, bytes) in forms.into_iter().enumerate() {
+            let ends = form == 2;
+            let backend = Raw::start(move |_, mut stream| {
+                let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+                while request(&mut reader).is_some() && stream.write_all(&bytes).is_ok() && !ends {}
+            });
+            let (node, _watch, _discovery) = serving_raw(&[&backend]);
+            for _ in 0..2 {
+                let mut client = connect(&node);
+                client.write_all(post("correct", "Content-Length: 0\r\n").as_bytes()).expect("it reads");
+                let (status, got) = answer(&client);
+                assert_eq!(status, 200, "{length} in form {form}");
+                assert!(got.as_ref() == Ok(&body), "{length} in form {form}: {:?}", got.map(|b| b.len()));
+            }
+            until(|| node.figure("node.handled.correct.passed") == 2, "the counts");
+            assert_eq!(node.figure("node.in_progress"), 0);
+            let expected = if ends { 2 } else { 1 };
+            assert_eq!(backend.connections.load(Ordering::SeqCst), expected, "{length} in form {form}");
+        }
+    }
+}
+
+#[test]
+fn an_answer_over_the_limit_is_dropped_and_one_that_breaks_is_seen_to() {
+    let over = Raw::answering(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n....".to_vec());
+    let (node, _watch, _discovery) = serving_raw(&[&over]);
+    assert_eq!(node.client().correct().status(), 502);
+    let half = pattern(200_000);
+    let lengthy = [&b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"[..], &half].concat();
+    let chunks = chunked(&half, 10_000, "");
+    let open = [&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &chunks[..150_000]].concat();
+    for bytes in [lengthy, open] {
+        let backend = Raw::start(move |_, mut stream| {
+            let _ = request(&mut BufReader::new(stream.try_clone().expect("a handle")));
+            let _ = stream.write_all(&bytes).and_then(|()| stream.shutdown(Shutdown::Both));
+        });
+        let (node, _watch, _discovery) = serving_raw(&[&backend]);
+        let mut client = connect(&node);
+        client.write_all(post("correct", "Content-Length: 0\r\n").as_bytes()).expect("it reads");
+        let (status, got) = answer(&client);
+        assert_eq!(
+            (status, got),
+            (200, Err("not whole".to_owned())),
+            "what is passed on can't be taken back"
+        );
+        until(|| node.figure("node.handled.correct.bad_gateway") == 1, "its count");
+        assert_eq!(backend.connections.load(Ordering::SeqCst), 1, "no second attempt");
+    }
+}
+
+/// The first bytes are there long before the last, and no deadline cuts off what the backend still gives.
+#[test]
+fn the_first_bytes_of_a_long_answer_go_on_at_once_and_none_is_cut_by_its_deadline() {
+    let (go, gate) = channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let body = pattern(300_000);
+    let sent = body.clone();
+    let backend = Raw::start(move |_, mut stream| {
+        let _ = request(&mut BufReader::new(stream.try_clone().expect("a handle")));
+        let bytes = with_length(&sent);
+        let _ = stream.write_all(&bytes[..1000]);
+        let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+        let _ = stream.write_all(&bytes[1000..]);
+    });
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    let mut client = connect(&node);
+    let head = post("correct", "Content-Length: 0\r\n").replace("X-Budget-Ms: 20000", "X-Budget-Ms: 500");
+    client.write_all(head.as_bytes()).expect("it reads");
+    let mut first = [0; 16];
+    client.read_exact(&mut first).expect("the first bytes");
+    assert_eq!(node.figure("node.in_progress"), 1);
+    // Out of service, too: what is under way goes on, well past its deadline.
+    assert_eq!(node.operate("POST /control/out-of-service").0, 200);
+    sleep(Duration::from_millis(1900));
+    go.send(()).expect("the backend waits");
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).expect("all of it");
+    assert!(rest.ends_with(&body[1000..]) && rest.len() > body.len(), "{}", rest.len());
+}
+
+/// Many clients that do not read: what is on its way for them stays within bounds, and small calls go on.
+#[test]
+fn more_long_answers_than_memory_holds_slow_down_their_backends_alone() {
+    let body = pattern(8 * MIB);
+    let bytes = with_length(&body);
+    let long = Raw::start(move |_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        while let Some((head, _)) = request(&mut reader) {
+            let small = head.starts_with("GET");
+            let sent =
+                if small { stream.write_all(&with_length(b"small")) } else { stream.write_all(&bytes) };
+            if sent.is_err() {
+                return;
+            }
+        }
+    });
+    let (node, _watch, _discovery) = serving_raw(&[&long]);
+    let before = node.memory_kb();
+    let slow: Vec<_> = (0..30)
+        .map(|_| {
+            let mut client = connect(&node);
+            client.write_all(post("correct", "Content-Length: 0\r\n").as_bytes()).expect("it reads");
+            let mut first = [0; 12];
+            client.read_exact(&mut first).expect("the first bytes");
+            assert_eq!(&first, b"HTTP/1.1 200");
+            client
+        })
+        .collect();
+    for _ in 0..20 {
+        let asked = Instant::now();
+        assert_eq!(node.client().read().body, b"small");
+        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    }
+    let grown = node.memory_kb().saturating_sub(before);
+    assert!(grown < 8 * 1024, "240 MiB on their way took {grown} kB");
+    drop(slow);
+    until(|| node.figure("node.in_progress") == 0, "the end of what nobody reads");
+}
+
+// ---- Requests' bodies ---------------------------------------------------------------------------
+
+/// Answers with the length and a sum of each request's body.
+fn summing() -> Raw {
+    Raw::start(|_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        while let Some((_, body)) = request(&mut reader) {
+            if stream.write_all(&with_length(summed(&body).as_bytes())).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+fn summed(body: &[u8]) -> String {
+    let sum = body.iter().fold(0u64, |sum, byte| sum.wrapping_mul(31).wrapping_add((*byte).into()));
+    format!("{} {sum:x}", body.len())
+}
+
+#[test]
+fn bodies_of_every_length_and_framing_reach_the_backend_unchanged() {
+    let backend = summing();
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    for length in [0, 1, 64 * 1024, 64 * 1024 + 1, 256 * 1024, 256 * 1024 + 1, 5 * MIB, 32 * MIB] {
+        let body = pattern(length);
+        let known = [post("correct", &format!("Content-Length: {length}\r\n")).as_bytes(), &body].concat();
+        let head = post("correct", "transfer-encoding: Chunked\r\nTrailer: X-Sum\r\n");
+        let unknown = [head.as_bytes(), &chunked(&body, 50_000, "X-Sum: 1\r\n")].concat();
+        for bytes in [known, unknown] {
+            let mut client = connect(&node);
+            let mut writer = client.try_clone().expect("a handle");
+            let writing = spawn(move || writer.write_all(&bytes));
+            let (status, got) = answer(&client);
+            assert_eq!((status, got), (200, Ok(summed(&body).into_bytes())), "{length}");
+            writing.join().expect("a writer").expect("it reads");
+            client.write_all(post("correct", "Content-Length: 0\r\n").as_bytes()).expect("it is kept");
+            assert_eq!(answer(&client).0, 200);
+        }
+    }
+}
+
+#[test]
+fn a_request_may_come_in_pieces_of_one_byte_pipelined_expected_and_in_absolute_form() {
+    let backend = summing();
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    let mut client = connect(&node);
+    client.set_nodelay(true).expect("its mode");
+    let head = post("correct", "Transfer-Encoding: chunked\r\n");
+    for byte in [head.as_bytes(), &chunked(b"sheet", 2, "")].concat() {
+        client.write_all(&[byte]).expect("it reads");
+    }
+    assert_eq!(answer(&client), (200, Ok(summed(b"sheet").into_bytes())));
+    let pipelined: String =
+        (0..3).map(|i| post("correct", "Content-Length: 1\r\n") + &i.to_string()).collect();
+    client.write_all(pipelined.as_bytes()).expect("it reads");
+    let mut reader = BufReader::new(client.try_clone().expect("a handle"));
+    for i in 0..3 {
+        let message = read_message(&mut reader).expect("an answer");
+        assert_eq!(message.body, summed(i.to_string().as_bytes()).into_bytes());
+    }
+    let absolute =
+        post("correct", "Content-Length: 0\r\n").replace("POST /", "POST http://service.internal/");
+    client.write_all(absolute.as_bytes()).expect("it reads");
+    assert_eq!(read_message(&mut reader).map(|message| message.status()), Some(200));
+    // The body comes only once it is asked for.
+    client
+        .write_all(post("correct", "Content-Length: 5\r\nExpect: 100-continue\r\n").as_bytes())
+        .expect("it reads");
+    assert!(head_of(&mut reader).starts_with("HTTP/1.1 100 "));
+    client.write_all(b"sheet").expect("it reads");
+    assert_eq!(read_message(&mut reader).map(|message| message.body), Some(summed(b"sheet").into_bytes()));
+}
+
+fn head_of(reader: &mut impl BufRead) -> String {
+    head(reader).expect("a head")
+}
+
+#[test]
+fn what_frames_a_body_twice_or_badly_is_turned_down_and_never_passed_on() {
+    let backend = summing();
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    let hidden = post("correct", "Content-Length: 0\r\n");
+    let heads = [
+        post("correct", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+        post("correct", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"),
+        post("correct", "Content-Length: 4\r\nContent-Length: 4\r\n"),
+        post("correct", "Content-Length: 4\r\nContent-Length: 5\r\n"),
+        post("correct", "Transfer-Encoding: chunked\r\nX-Folded: a\r\n b\r\n"),
+        post("correct", "Transfer-Encoding: gzip, chunked\r\n"),
+        post("correct", "Transfer-Encoding: gzip\r\n"),
+    ];
+    for head in heads {
+        let mut client = connect(&node);
+        client.write_all(format!("{head}0\r\n\r\n{hidden}").as_bytes()).expect("it reads");
+        let (status, _) = answer(&client);
+        assert!((400..600).contains(&status) && ![429, 503].contains(&status), "{status} for {head}");
+    }
+    for chunk in [
+        "4\nbody\r\n0\r\n\r\n",
+        "4\r\nbody\n0\r\n\r\n",
+        "4 x\r\nbody\r\n",
+        "4;a\nb\r\nbody\r\n",
+        "-1\r\n",
+        "zz\r\n",
+    ] {
+        let mut client = connect(&node);
+        let head = post("correct", "Transfer-Encoding: chunked\r\n");
+        client.write_all(format!("{head}{chunk}{hidden}").as_bytes()).expect("it reads");
+        let (status, _) = answer(&client);
+        assert_eq!(status, 400, "{chunk:?}");
+    }
+    // Too long by its head, and too long as it comes.
+    let mut client = connect(&node);
+    client.write_all(post("correct", "Content-Length: 33554433\r\n").as_bytes()).expect("it reads");
+    assert_eq!(answer(&client).0, 413);
+    let mut client = connect(&node);
+    client.write_all(post("correct", "Transfer-Encoding: chunked\r\n").as_bytes()).expect("it reads");
+    let mut writer = client.try_clone().expect("a handle");
+    spawn(move || writer.write_all(&chunked(&pattern(34 * MIB), MIB, "")));
+    assert_eq!(answer(&client).0, 413);
+    assert_eq!(node.figure("node.upstream_tries"), 0, "nothing of it was ever whole at a backend");
+}
+
+#[test]
+fn a_body_that_stalls_is_told_so_in_time_and_a_slow_one_is_taken() {
+    let backend = summing();
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    let begun = Instant::now();
+    for framing in ["Content-Length: 400000\r\n", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let mut client = connect(&node);
+        client.write_all(format!("{}4\r\n", post("correct", framing)).as_bytes()).expect("it reads");
+        spawn(move || {
+            let (status, _) = answer(&client);
+            assert_eq!(status, 408);
+        })
+        .join()
+        .expect("a time-out");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(9), "3 s each: {:?}", begun.elapsed());
+    // 64 kB a second in pieces, for a little longer than any stall may be.
+    let body = pattern(170_000);
+    let mut client = connect(&node);
+    client.write_all(post("correct", "Content-Length: 170000\r\n").as_bytes()).expect("it reads");
+    for piece in body.chunks(16_000) {
+        sleep(Duration::from_millis(250));
+        client.write_all(piece).expect("it reads");
+    }
+    assert_eq!(answer(&client), (200, Ok(summed(&body).into_bytes())));
+}
+
+// ---- What may be sent again ---------------------------------------------------------------------
+
+/// Plays a backend that breaks its first connection once so many bytes of a request have come, and serves all others.
+fn breaking(after: usize) -> (Raw, Receiver<usize>) {
+    let (broke, broken) = channel();
+    let broke = std::sync::Mutex::new(broke);
+    let backend = Raw::start(move |number, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        if number == 0 {
+            let _ = reader.read_exact(&mut vec![0; after]);
+            let _ = broke.lock().expect("the way").send(after);
+            return; // with bytes unread: its end is a reset
+        }
+        while let Some((_, body)) = request(&mut reader) {
+            let _ = stream.write_all(&with_length(summed(&body).as_bytes()));
+        }
+    });
+    (backend, broken)
+}
+
+#[test]
+fn an_unsafe_body_that_never_came_whole_is_sent_again_while_it_is_kept() {
+    let (backend, broken) = breaking(100);
+    let other = summing();
+    let (node, _watch, _discovery) = serving_raw(&[&backend, &other]);
+    // Small enough to be kept, too long for the kernel to take it all before the reset.
+    let body = pattern(250_000);
+    for _ in 0..8 {
+        let mut client = connect(&node);
+        client.write_all(post("correct", "Content-Length: 250000\r\n").as_bytes()).expect("it reads");
+        client.write_all(&body).expect("it reads");
+        let (status, got) = answer(&client);
+        // Where the kernel took the last byte before the reset it may have run: then it has failed.
+        assert!(
+            (status, &got) == (200, &Ok(summed(&body).into_bytes())) || status == 502,
+            "{status} {got:?}"
+        );
+        if broken.try_recv().is_ok() {
+            return;
+        }
+    }
+    panic!("the backend that breaks was never asked");
+}
+
+#[test]
+fn a_body_that_is_spent_is_not_sent_again_and_refused_if_it_never_ran() {
+    let (backend, broken) = breaking(700_000);
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    let body = pattern(20 * MIB);
+    let mut client = connect(&node);
+    let mut writer = client.try_clone().expect("a handle");
+    client
+        .write_all(post("correct", &format!("Content-Length: {}\r\n", body.len())).as_bytes())
+        .expect("it reads");
+    let writing = spawn(move || writer.write_all(&body).is_ok());
+    let (status, _) = answer(&client);
+    broken.recv_timeout(PATIENCE).expect("the break");
+    assert_eq!(status, 503, "it never ran: to try again is harmless");
+    drop(client);
+    let _ = writing.join();
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1, "half a body is no attempt");
+    assert_eq!(node.figure("node.upstream_tries"), 0);
+    assert_eq!(node.figure("node.handled.correct.dropped"), 1);
+}
+
+/// The client leaves in the middle of its body: no backend may take what came for the whole.
+#[test]
+fn a_client_that_leaves_within_a_long_body_leaves_no_whole_request_behind() {
+    let (came, whole) = channel();
+    let came = std::sync::Mutex::new(came);
+    let backend = Raw::start(move |_, stream| {
+        let got = request(&mut BufReader::new(stream)).is_some();
+        let _ = came.lock().expect("the way").send(got);
+    });
+    let (node, _watch, _discovery) = serving_raw(&[&backend]);
+    for framing in ["Content-Length: 900000\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let mut client = connect(&node);
+        client.write_all(post("correct", framing).as_bytes()).expect("it reads");
+        client.write_all(&chunked(&pattern(600_000), 600_000, "")[..600_000]).expect("it reads");
+        until(|| node.figure("node.in_progress") == 1, "the request under way");
+        drop(client);
+        assert!(!whole.recv_timeout(PATIENCE).expect("the end at the backend"), "{framing}");
+        until(|| node.figure("node.in_progress") == 0, "its end");
+    }
+    assert_eq!(node.figure("node.upstream_tries"), 0);
+}
