Two processes of a node keep its descriptors and memory together while one takes over

Change: crates/handover, without I/O, says what each may hold; the older process tells the newer over a Unix socket in TMPDIR, whose end says that it is gone; what was told is never taken back. It is there only where PROXY_LISTEN_FD names a descriptor. Not taken: a fixed half each, which leaves 23 places for clients at 256 descriptors where the platform may bring 85; and files, which say nothing of a process's end.

Seen on the way: told to end, the older process kept to the connections it had and turned 20 of 4,300 calls away for want of one ('no connection is left for an attempt'); it may now hold one for each client it still has.

Tests: every order of six events, a line cut at each byte; over loopback two upgrades at 200 descriptors, and rubbish, dead, silent and foreign sockets in TMPDIR or no folder at all.

--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -1,14 +1,17 @@
 //! The listeners: clients' over HTTP, callers' over Thrift, operators'.
 
+use crate::handover::{Handover, Holders};
 use crate::{control, pages};
 use hyper::Method;
 use sillward_admin::{Admin, Reply, Route};
 use sillward_config::Config;
 use sillward_core::{Budget, Intake, Live, Message};
+use sillward_handover::Holding;
 use sillward_listener::{Door, Hold, Life};
 use sillward_log::log;
 use sillward_membership::Membership;
 use sillward_metrics::Counters;
+use sillward_pool::Sockets;
 use sillward_seam::Clock;
 use sillward_seam::net::TcpListener;
 use sillward_seam::task::spawn_local;
@@ -29,6 +32,9 @@
     pub life: Rc<Life>,
     pub counters: Rc<Counters>,
     pub live: Rc<Live>,
+    /// HTTP clients' connections, and those to backends.
+    pub door: Rc<Door>,
+    pub sockets: Rc<Sockets>,
     pub budget: Budget,
     pub stop: watch::Receiver<bool>,
     /// How many of the client connections are Thrift callers'.
@@ -36,12 +42,20 @@
 }
 
 impl Fronts {
-    /// The longest deadline of any class there is or has been, as it is when it is asked for.
-    fn longest(&self) -> impl Fn() -> Duration + use<> {
-        let live = self.live.clone();
-        move || {
-            let site = live.get();
-            site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    /// Where the platform replaces processes: finds the one that was here before, and keeps to this one's share.
+    pub async fn share(&self) {
+        if self.config.listen_fd.is_none() {
+            return;
+        }
+        let alone = Holding {
+            clients: self.config.client_connections - self.thrift_connections,
+            backends: self.config.backend_connections,
+            bytes: self.config.body_bytes,
+        };
+        let (door, sockets) = (self.door.clone(), self.sockets.clone());
+        let holders = Holders { door, sockets, budget: self.budget.clone() };
+        if let Some(handover) = Handover::start(self.config.folder.as_deref(), alone, holders).await {
+            spawn_local(handover.run(self.told_to_stop()));
         }
     }
 
@@ -60,9 +74,7 @@
     }
 
     pub async fn http(&self, listener: TcpListener) -> Result<(), String> {
-        let life = self.life.clone();
-        let door =
-            Door::new(life.clone(), self.config.client_connections - self.thrift_connections, self.longest());
+        let (life, door) = (self.life.clone(), self.door.clone());
         let (intake, live) = (self.intake.clone(), self.live.clone());
         let (budget, counters) = (self.budget.clone(), self.counters.clone());
         let front = sillward_http1::Front::new(intake, live, door.clone(), budget, life, counters);
@@ -80,7 +92,7 @@
         let Some(terms) = terms else { return Ok(()) };
         let listener = bind(terms.listen).await?;
         self.said(&listener, "Thrift")?;
-        let door = Door::new(self.life.clone(), self.thrift_connections, self.longest());
+        let door = Door::new(self.life.clone(), self.thrift_connections, longest(&self.live));
         let (intake, live, seed) = (self.intake.clone(), self.live.clone(), self.config.seed);
         let front = sillward_thrift::Front::new(intake, live, terms, door.clone(), self.budget.clone(), seed);
         door.run(front.clone(), listener, Hold::Own, self.told_to_stop()).await;
@@ -124,6 +136,15 @@
     }
 }
 
+/// The longest deadline of any class there is or has been, as it is when it is asked for.
+pub fn longest(live: &Rc<Live>) -> impl Fn() -> Duration + use<> {
+    let live = live.clone();
+    move || {
+        let site = live.get();
+        site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+}
+
 /// Adopts the listener that the process was started with, or says in words why not.
 pub fn adopt(descriptor: i32, address: SocketAddr) -> Result<TcpListener, String> {
     let wrong =
--- /dev/null
+++ b/crates/assembly/src/handover.rs
@@ -0,0 +1,197 @@
+//! Two processes of one node side by side: carries what each holds to the other, and what that comes to to the parts that
+//! hold it. Decides nothing.
+
+use sillward_core::{Budget, Lease};
+use sillward_handover::{Event, Holding, LONGEST_LINE, Shares, line, read};
+use sillward_listener::Door;
+use sillward_log::log;
+use sillward_pool::Sockets;
+use sillward_seam::local::{LocalListener, LocalStream};
+use sillward_seam::time::{sleep, timeout};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often what a process holds is looked at while there are two.
+const LOOK: Duration = Duration::from_millis(20);
+/// An older process that lives says its word within this; one that does not is taken to hold half.
+const FIRST_WORD: Duration = Duration::from_secs(1);
+/// The file under `$TMPDIR` by which a newer process finds the older one.
+const NAME: &str = "sillward.sock";
+/// What a second process takes for itself: descriptors for streams, listeners, runtime, discovery and operators' callers, and
+/// memory for its code, tables and queues.
+pub const SECOND: Holding = Holding { clients: 0, backends: 32, bytes: 8 << 20 };
+
+/// The parts that hold something.
+pub struct Holders {
+    pub door: Rc<Door>,
+    pub sockets: Rc<Sockets>,
+    pub budget: Budget,
+}
+
+impl Holders {
+    fn held(&self, aside: &Lease) -> Holding {
+        let bytes = self.budget.taken().saturating_sub(aside.bytes());
+        Holding { clients: self.door.clients(), backends: self.sockets.open(), bytes }
+    }
+}
+
+/// A process of a node whose platform replaces processes.
+pub struct Handover {
+    shares: Shares,
+    holders: Holders,
+    /// Room that is the other process's.
+    aside: Lease,
+    alone: Holding,
+    older: Option<Talk>,
+    newer: Option<LocalStream>,
+    said: Option<Holding>,
+    listener: Option<LocalListener>,
+}
+
+/// A connection to the older process, and a line that is not whole yet.
+struct Talk {
+    stream: LocalStream,
+    unread: String,
+}
+
+impl Talk {
+    /// The next word; `None` once the other process is gone, or makes no sense.
+    async fn next(&mut self) -> Option<Holding> {
+        loop {
+            if let Some(end) = self.unread.find('\n') {
+                let rest = self.unread.split_off(end + 1);
+                return read(&std::mem::replace(&mut self.unread, rest));
+            }
+            let mut bytes = [0; LONGEST_LINE];
+            let count = self.stream.read(&mut bytes).await.ok().filter(|count| *count > 0)?;
+            self.unread.push_str(std::str::from_utf8(&bytes[..count]).ok()?);
+            if self.unread.len() > 64 * LONGEST_LINE {
+                return None;
+            }
+        }
+    }
+}
+
+impl Handover {
+    /// Finds the process that was here before, hears what it holds, and takes its place for the next.
+    pub async fn start(folder: Option<&Path>, alone: Holding, holders: Holders) -> Option<Self> {
+        let aside = holders.budget.lease(0)?;
+        let mut this = Handover {
+            shares: Shares::new(alone, SECOND),
+            holders,
+            aside,
+            alone,
+            older: None,
+            newer: None,
+            said: None,
+            listener: None,
+        };
+        let Some(path) = folder.map(|folder| folder.join(NAME)) else {
+            log("no TMPDIR: whether another process of this node runs is unknown, and it holds half");
+            this.shares.handle(Event::Older);
+            this.half();
+            this.apply();
+            return Some(this);
+        };
+        if let Ok(stream) = LocalStream::connect(&path).await {
+            this.shares.handle(Event::Older);
+            let mut talk = Talk { stream, unread: String::new() };
+            match timeout(FIRST_WORD, talk.next()).await {
+                Ok(Some(holding)) => {
+                    log(format_args!("an older process of this node holds {holding:?}"));
+                    this.shares.handle(Event::OlderHolds(holding));
+                    this.older = Some(talk);
+                }
+                Ok(None) => this.shares.handle(Event::OlderGone),
+                Err(_) => {
+                    log("an older process of this node says nothing: it is taken to hold half");
+                    this.half();
+                    this.older = Some(talk);
+                }
+            }
+        }
+        match LocalListener::replace(&path) {
+            Ok(listener) => this.listener = Some(listener),
+            Err(e) => log(format_args!("the next process will not find this one at {}: {e}", path.display())),
+        }
+        this.apply();
+        Some(this)
+    }
+
+    fn half(&mut self) {
+        self.shares.handle(Event::OlderHolds(self.alone.half()));
+    }
+
+    fn apply(&mut self) {
+        let held = self.holders.held(&self.aside);
+        let may = self.shares.may_hold(held);
+        self.holders.door.hold(may.clients);
+        self.holders.sockets.hold(may.backends);
+        self.aside.become_of(self.alone.bytes.saturating_sub(may.bytes));
+    }
+
+    /// Carries on for as long as the process lives. `stop` is when it is told to end.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = std::pin::pin!(stop);
+        let mut stopped = false;
+        loop {
+            let (older, newer) = (&mut self.older, &mut self.newer);
+            let paired = older.is_some() || newer.is_some();
+            let word = async {
+                match older {
+                    Some(talk) => talk.next().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let newer_gone = async {
+                match newer {
+                    // It says nothing: whatever comes is its end.
+                    Some(stream) => drop(stream.read(&mut [0; 1]).await),
+                    None => std::future::pending().await,
+                }
+            };
+            let came = async {
+                match &self.listener {
+                    Some(listener) => listener.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                () = &mut stop, if !stopped => {
+                    stopped = true;
+                    self.shares.handle(Event::Stop);
+                }
+                word = word => match word {
+                    Some(holding) => self.shares.handle(Event::OlderHolds(holding)),
+                    None => {
+                        log("the older process of this node is gone");
+                        self.older = None;
+                        self.shares.handle(Event::OlderGone);
+                    }
+                },
+                () = newer_gone => {
+                    log("the newer process of this node is gone");
+                    self.newer = None;
+                    self.shares.handle(Event::NewerGone);
+                }
+                came = came => match came {
+                    Ok(stream) => {
+                        (self.newer, self.said) = (Some(stream), None);
+                        self.shares.handle(Event::Newer);
+                    }
+                    Err(_) => sleep(LOOK).await,
+                },
+                () = sleep(LOOK), if paired => {}
+            }
+            self.apply();
+            let told = self.shares.told(self.holders.held(&self.aside));
+            if let Some(stream) = self.newer.as_mut().filter(|_| self.said != Some(told)) {
+                // One that does not read is no reason to stop here: its end shows above.
+                let _ = timeout(LOOK, stream.write_all(line(told).as_bytes())).await;
+                self.said = Some(told);
+            }
+        }
+    }
+}
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -5,12 +5,13 @@
 
 mod control;
 mod fronts;
+mod handover;
 mod pages;
 mod sources;
 
 use sillward_config::Config;
 use sillward_core::{Backends, Budget, Dispatch, Gauges, Intake, Live, Message, Node, Reports};
-use sillward_listener::Life;
+use sillward_listener::{Door, Life};
 use sillward_log::log;
 use sillward_metrics::Counters;
 use sillward_operator::Operator;
@@ -103,7 +104,7 @@
         orders,
         counters.clone(),
     );
-    shown(Insight { gauges: node.gauges(), budget: budget.clone(), sockets });
+    shown(Insight { gauges: node.gauges(), budget: budget.clone(), sockets: sockets.clone() });
     let intake = Intake::new(clock, messages.clone());
     let mut node = spawn_local(node.run(inbox));
     let life = Life::start(clock, sources.discovery.ready());
@@ -119,7 +120,11 @@
     let said = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {said}", config.name));
 
+    let clients = config.client_connections - thrift_connections;
+    let door = Door::new(life.clone(), clients, fronts::longest(&live));
     let doors = fronts::Fronts {
+        door,
+        sockets,
         clock,
         config: config.clone(),
         intake,
@@ -132,6 +137,7 @@
         thrift_connections,
     };
     let fronts = async {
+        doors.share().await;
         let http = doors.http(listener);
         let thrift = doors.thrift(operator.thrift);
         doors.admin(config.admin, operator.admin, sources.membership).await?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -69,6 +69,8 @@
     pub site: Site,
     /// The listening socket that this process was started with, where the platform replaces processes.
     pub listen_fd: Option<i32>,
+    /// Where processes of this node find each other, where the platform replaces them.
+    pub folder: Option<PathBuf>,
     /// The text as it was, without what may be left out of a later one.
     text: Value,
 }
@@ -123,6 +125,7 @@
             config.listen_fd =
                 Some(number.ok_or("bad configuration: PROXY_LISTEN_FD is no descriptor's number over 2")?);
         }
+        config.folder = std::env::var_os("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from);
         if let (None, Some(admin)) = (config.admin, std::env::var_os("PROXY_ADMIN").filter(|v| !v.is_empty()))
         {
             let admin = admin.to_str().and_then(|admin| admin.parse().ok());
@@ -174,6 +177,7 @@
             known: file.known.map(|known| known.get().to_owned()),
             site,
             listen_fd: None,
+            folder: None,
             text,
         })
     }
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -44,6 +44,24 @@
 }
 
 impl Lease {
+    /// How many bytes it has.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Has so many bytes from now on, or as many of them as there is room for.
+    pub fn become_of(&mut self, bytes: usize) {
+        if bytes < self.bytes {
+            let back = self.bytes - bytes;
+            self.bytes = bytes;
+            self.budget.left.fetch_add(back, Ordering::Relaxed);
+        } else {
+            let left = self.budget.left.load(Ordering::Relaxed);
+            let more = (bytes - self.bytes).min(left);
+            self.grow(more);
+        }
+    }
+
     /// Takes so many bytes more for a long body while half of all is left, so that its later fellows find room to begin;
     /// otherwise nothing changes.
     pub fn grow_spare(&mut self, bytes: usize) -> bool {
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -195,7 +195,7 @@
     numbers: Cell<u64>,
     longest_deadline: Box<dyn Fn() -> Duration>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
-    most_clients: usize,
+    most_clients: Cell<usize>,
     /// A connection that is accepted, and waits for another to make room. It outlives a cancelled accept:
     /// it may hold a request.
     waiting: RefCell<Option<TcpStream>>,
@@ -214,12 +214,23 @@
             numbers: Cell::new(0),
             longest_deadline: Box::new(longest_deadline),
             clients: RefCell::default(),
-            most_clients,
+            most_clients: Cell::new(most_clients),
             waiting: RefCell::default(),
             left: Notify::new(),
         })
     }
 
+    /// How many clients there are.
+    pub fn clients(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// For so many clients from now on. Those that are there stay.
+    pub fn hold(&self, most_clients: usize) {
+        self.most_clients.set(most_clients);
+        self.left.notify_one();
+    }
+
     /// Whether each answer is its connection's last: the node is leaving, or out of service.
     pub fn is_closing(&self) -> bool {
         self.life.state.borrow().parting()
@@ -230,7 +241,7 @@
         client.socket.listen_anew();
         let now = Instant::now();
         client.stage.set(if last { Stage::Closing(now) } else { Stage::Idle(now) });
-        if self.clients.borrow().len() >= self.most_clients {
+        if self.clients.borrow().len() >= self.most_clients.get() {
             self.left.notify_one(); // whoever waits to come in finds this one idle
         }
     }
@@ -311,7 +322,7 @@
                     }
                 }
             }
-            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients {
+            while self.waiting.borrow().is_some() && self.clients.borrow().len() >= self.most_clients.get() {
                 self.make_room();
                 let _ = timeout(ACCEPT_PAUSE, self.left.notified()).await;
             }
@@ -345,7 +356,8 @@
         let mut idle: Vec<_> =
             clients.values().filter_map(|client| client.idle().map(|order| (order, client))).collect();
         let new = |client: &Client| !client.asked.get() && now < client.accepted + FIRST_WORDS;
-        if idle.iter().filter(|(_, client)| new(client)).count() <= (self.most_clients / FIRST_PLACES).max(1)
+        if idle.iter().filter(|(_, client)| new(client)).count()
+            <= (self.most_clients.get() / FIRST_PLACES).max(1)
         {
             idle.retain(|(_, client)| !new(client));
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -37,12 +37,17 @@
 /// The connections to backends that may be open at once, of all pools together.
 pub struct Sockets {
     open: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
 }
 
 impl Sockets {
+    /// From now on so many. Those that are open stay.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+    }
+
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Sockets { open: Cell::new(0), most })
+        Rc::new(Sockets { open: Cell::new(0), most: Cell::new(most) })
     }
 
     /// Those that are open or being dialled, idle ones among them.
@@ -231,7 +236,7 @@
                 let address = place.address.ok_or(Outcome::NotSent)?;
                 let epoch = place.epoch;
                 drop(places);
-                if self.sockets.open.get() >= self.sockets.most && !self.close_longest_idle() {
+                if self.sockets.open.get() >= self.sockets.most.get() && !self.close_longest_idle() {
                     log_peer("no connection is left for an attempt: it was not sent");
                     return Err(Outcome::NotSent);
                 }
--- a/crates/rig/src/peers.rs
+++ b/crates/rig/src/peers.rs
@@ -402,6 +402,11 @@
         self.log.lock().expect("the log").iter().filter(|line| line.contains(text)).count()
     }
 
+    /// How many descriptors it has open; none once it has ended.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// What it has in memory.
     pub fn memory_kb(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its state");
@@ -558,6 +563,14 @@
     pub fn read(&mut self) -> Message {
         self.ask("GET /read/1f", &common(20_000), b"")
     }
+    /// Whether an unsafe request could be written: the node may have closed the connection.
+    pub fn try_correct(&mut self) -> bool {
+        let head = format!(
+            "POST /correct/1f HTTP/1.1\r\nHost: s\r\n{}Content-Length: 5\r\n\r\nsheet",
+            common(20_000)
+        );
+        self.0.get_mut().write_all(head.as_bytes()).is_ok()
+    }
     pub fn send_correct(&mut self) {
         self.send("POST /correct/1f", &common(20_000), b"sheet");
     }
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod clock;
+pub mod local;
 pub mod net;
 mod stream;
 pub mod task;
