--- a/crates/hillpick/tests/decisions.rs
+++ b/crates/hillpick/tests/decisions.rs
@@ -935,3 +935,129 @@
     let (_, actions) = world.request(5);
     assert_eq!(sent_to(&actions).len(), 1, "{actions:?}");
 }
+
+// ---- Bodies on their way ------------------------------------------------------------------------
+
+/// A node of two servers in the same zone and cell, played by hand: what is on its way has other times than `World` knows.
+struct Bodies {
+    node: Balancer,
+    now: std::time::Duration,
+}
+
+impl Bodies {
+    fn new() -> Self {
+        let mut bodies = Bodies { node: Balancer::new(answering(), 1), now: ms(100_000) };
+        bodies.tell(Event::List { kind: ListKind::Full, entries: vec![entry(0), entry(3)] });
+        bodies
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.node.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    fn request(&mut self, id: u64, class: usize, arriving: bool) -> Vec<Action> {
+        let (id, remaining) = (RequestId(id), ms(1000));
+        self.tell(Event::Request(NewRequest { id, class, remaining, arriving, ..Default::default() }))
+    }
+
+    fn end(&mut self, id: u64, server: u64, outcome: Outcome, spent: bool) -> Vec<Action> {
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            id: RequestId(id),
+            attempt: 0,
+            server: ServerId(server),
+            outcome,
+            elapsed: ms(1),
+            finished: false,
+            spent,
+            report: None,
+        }))
+    }
+}
+
+#[test]
+fn the_time_of_a_request_that_is_still_coming_begins_with_its_last_byte() {
+    let mut bodies = Bodies::new();
+    let actions = bodies.request(1, 1, true);
+    assert_eq!(sent_to(&actions).len(), 1, "it goes on while it comes: {actions:?}");
+    let timers = |actions: &[Action]| {
+        let timer = |action: &Action| match action {
+            Action::SetTimer { after, token: 1 } => Some(*after),
+            _ => None,
+        };
+        actions.iter().filter_map(timer).collect::<Vec<_>>()
+    };
+    assert!(timers(&actions).iter().all(|after| *after > ms(60_000)), "nobody hurries it: {actions:?}");
+    bodies.now += ms(30_000);
+    assert!(bodies.tell(Event::Timer { token: 1 }).is_empty(), "it is not late");
+    let actions = bodies.tell(Event::Arrived { id: RequestId(1), spent: true });
+    assert_eq!(timers(&actions), [ms(400)], "its aim, from now: {actions:?}");
+    bodies.now += ms(400);
+    let actions = bodies.tell(Event::Timer { token: 1 });
+    assert!(failed(&actions) && sent_to(&actions).is_empty(), "{actions:?}");
+    assert!(bodies.tell(Event::Arrived { id: RequestId(1), spent: true }).is_empty(), "once");
+}
+
+#[test]
+fn what_is_still_coming_crowds_no_server_and_what_has_come_does() {
+    let crowd = |arrived: bool| {
+        let mut bodies = Bodies::new();
+        for id in 1..=24 {
+            let actions = bodies.request(id, 1, true);
+            if !arrived {
+                assert_eq!(sent_to(&actions).len(), 1, "{id}: {actions:?}");
+            } else {
+                bodies.tell(Event::Arrived { id: RequestId(id), spent: true });
+            }
+        }
+        sent_to(&bodies.request(99, 1, false)).len()
+    };
+    assert_eq!(crowd(false), 1);
+    assert_eq!(crowd(true), 0);
+}
+
+#[test]
+fn a_body_that_is_spent_gets_no_further_attempt_and_is_refused_only_if_none_ran() {
+    let mut bodies = Bodies::new();
+    let first = sent_to(&bodies.request(1, 1, true))[0];
+    let actions = bodies.end(1, first, Outcome::NotSent, false);
+    assert_eq!(sent_to(&actions).len(), 1, "its first part is kept: {actions:?}");
+    let first = sent_to(&bodies.request(2, 1, true))[0];
+    let actions = bodies.end(2, first, Outcome::NotSent, true);
+    assert!(sent_to(&actions).is_empty() && refused(&actions), "{actions:?}");
+    let first = sent_to(&bodies.request(3, 1, true))[0];
+    bodies.tell(Event::Arrived { id: RequestId(3), spent: true });
+    let actions = bodies.end(3, first, Outcome::Reset, true);
+    assert!(sent_to(&actions).is_empty() && failed(&actions), "it may have run: {actions:?}");
+}
+
+#[test]
+fn an_answer_that_has_started_is_the_only_one_and_no_time_cuts_it_off() {
+    let mut bodies = Bodies::new();
+    let first = sent_to(&bodies.request(1, 0, false))[0];
+    bodies.now += ms(399);
+    let second = sent_to(&bodies.tell(Event::Timer { token: 1 }));
+    assert_eq!(second.len(), 1, "a silent one is followed by a copy");
+    let started = Event::Started { id: RequestId(1), attempt: 0, server: ServerId(first), report: None };
+    let actions = bodies.tell(started.clone());
+    assert_eq!(actions, [Action::Cancel { id: RequestId(1), attempt: 1 }]);
+    bodies.now += ms(5000);
+    assert!(bodies.tell(Event::Timer { token: 1 }).is_empty(), "what the client is being given is not cut");
+    assert!(bodies.tell(started).is_empty(), "once");
+    let mut end = AttemptEnd {
+        id: RequestId(1),
+        attempt: 1,
+        server: ServerId(second[0]),
+        outcome: Outcome::Cancelled,
+        elapsed: ms(1),
+        finished: true,
+        spent: false,
+        report: None,
+    };
+    assert!(bodies.tell(Event::AttemptEnded(end.clone())).is_empty());
+    (end.attempt, end.server, end.outcome) = (0, ServerId(first), Outcome::Served);
+    assert!(bodies.tell(Event::AttemptEnded(end)).is_empty());
+    // Both servers are free again: neither end was counted twice.
+    assert_eq!(sent_to(&bodies.request(2, 1, false)).len(), 1);
+}
