--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -22,7 +22,8 @@
 const SILENT: f64 = 4.0;
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
-const ARRIVES: Duration = Duration::from_secs(1200); // the longest body at the least rate takes less
+/// The longest body at the least rate takes less.
+const ARRIVES: Duration = Duration::from_secs(1200);
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
