--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -76,8 +76,8 @@
         }
     }
 
-    /// How many servers are listed, and how many of these are avoided for what they did. One that drains is not: it is
-    /// on its way out as it should be.
+    /// How many servers are listed, and how many of these are avoided for what they did. One that drains is
+    /// not: it is on its way out as it should be.
     pub fn view(&self) -> (usize, usize) {
         let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
         let avoided = |s: &&Server| s.entry.state == ServerState::Ready && s.ejected.is_some();
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -220,6 +220,8 @@
     let mut rest = Vec::new();
     client.read_to_end(&mut rest).expect("all of it");
     assert!(rest.ends_with(&body[1000..]) && rest.len() > body.len(), "{}", rest.len());
+    until(|| node.figure("node.in_progress") == 0, "its end");
+    assert_eq!(node.figure("node.handled.correct.passed"), 1, "served, whatever its deadline was");
 }
 
 /// Many clients that do not read: what is on its way for them stays within bounds, and small calls go on.
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -386,6 +386,7 @@
     let new = platform.process();
     platform.tell(&new, &backend);
     assert_eq!(waiting.answer().map(|answer| answer.status()), Some(200));
+    assert_eq!(new.figure("node.handled.correct.passed"), 1, "the new one's own");
 }
 
 #[test]
@@ -426,6 +427,8 @@
     let mut kept: Vec<Client> = (0..45).map(|_| Client::connect(platform.address)).collect();
     kept.iter_mut().for_each(|client| assert_eq!(client.read().status(), 200));
     for _ in 0..2 {
+        // They say nothing and fill whatever place a process has.
+        let _crowd: Vec<Client> = (0..150).map(|_| Client::connect(platform.address)).collect();
         let new = start(&platform);
         platform.tell(&new, &backend);
         old.terminate();
@@ -443,7 +446,8 @@
             }
         }
         assert!(old.exit().success());
-        assert!(most > 60 && most <= LIMIT, "{most} descriptors of {LIMIT}");
+        // 59 clients at the most, some backends' connections, and what each process needs for itself.
+        assert!(most > 60 && most <= 140, "{most} descriptors of {LIMIT}");
         new.logged("the older process of this node is gone");
         old = new;
     }
