Two processes are full when their descriptors are counted, so that the test can fail

Cause: with the shares taken out the test of two processes still passed at 102 descriptors: its crowd came before the second process and was closed again. Change: the crowd comes while both accept.

--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -427,19 +427,18 @@
     let mut kept: Vec<Client> = (0..45).map(|_| Client::connect(platform.address)).collect();
     kept.iter_mut().for_each(|client| assert_eq!(client.read().status(), 200));
     for _ in 0..2 {
-        // They say nothing and fill whatever place a process has.
-        let _crowd: Vec<Client> = (0..150).map(|_| Client::connect(platform.address)).collect();
         let new = start(&platform);
         platform.tell(&new, &backend);
+        // They say nothing and fill whatever place the two have.
+        let _crowd: Vec<Client> = (0..200).map(|_| Client::connect(platform.address)).collect();
+        let (mut most, mut ended) = (old.descriptors() + new.descriptors(), false);
         old.terminate();
-        let (mut most, mut ended) = (0, false);
         while !ended {
             most = most.max(old.descriptors() + new.descriptors());
             ended = old.descriptors() == 0;
             // Who is let go comes again, as clients do.
             for client in &mut kept {
-                client.send_correct();
-                let answer = client.answer();
+                let answer = client.try_correct().then(|| client.answer()).flatten();
                 if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
                     *client = Client::connect(platform.address);
                 }
@@ -447,7 +446,7 @@
         }
         assert!(old.exit().success());
         // 59 clients at the most, some backends' connections, and what each process needs for itself.
-        assert!(most > 60 && most <= 140, "{most} descriptors of {LIMIT}");
+        assert!(most > 60 && most <= 125, "{most} descriptors of {LIMIT}");
         new.logged("the older process of this node is gone");
         old = new;
     }
