--- /dev/null
+++ b/crates/assembly/src/fleet.rs
@@ -0,0 +1,104 @@
+//! The fleet that the node is a member of, where the operator file names one.
+
+use sillward_config::Config;
+use sillward_links::envelope::Keys;
+use sillward_links::{Fleet, Terms};
+use sillward_log::log;
+use sillward_operator::FleetTerms;
+use sillward_peers::{About, Name};
+use sillward_seam::task::spawn_local;
+use sillward_seam::{Clock, files};
+use std::rc::Rc;
+
+/// The shortest and the longest key, in bytes.
+const KEY: std::ops::RangeInclusive<usize> = 32..=1024;
+/// What this build speaks to other members.
+const SPEAKS: &[&str] = &["fleet1"];
+
+/// What the fleet's member is to be: the operator file's words with the key that they name.
+///
+/// # Errors
+/// All that is wrong, with the operator file's keys.
+pub fn terms(config: &Config, fleet: &FleetTerms) -> Result<Terms, String> {
+    let mut faults = Vec::new();
+    let name = Name::new(&config.name);
+    if name.is_none() {
+        faults.push(format!(
+            "fleet: the node's name {:?} must have 1 to {} bytes and no control characters to be a member's",
+            config.name,
+            Name::MOST
+        ));
+    }
+    let file = fleet.key_file.display();
+    let secret = files::secret(&fleet.key_file, *KEY.end() as u64 + 1);
+    let secret = secret.map_err(|e| faults.push(format!("fleet.key_file: cannot use {file}: {e}"))).ok();
+    let secret: Option<Vec<u8>> = secret.map(|bytes| bytes.trim_ascii().to_vec());
+    if secret.as_ref().is_some_and(|secret| !KEY.contains(&secret.len())) {
+        faults.push(format!("fleet.key_file: {file} must hold {} to {} bytes", KEY.start(), KEY.end()));
+    }
+    let (Some(name), Some(secret), true) = (name, secret, faults.is_empty()) else {
+        return Err(faults.join("\n"));
+    };
+    let about = About {
+        zone: fleet.zone.clone(),
+        region: fleet.region.clone(),
+        build: build(),
+        speaks: SPEAKS.iter().map(|word| (*word).to_owned()).collect(),
+    };
+    Ok(Terms {
+        fleet: fleet.name.clone(),
+        keys: Keys::of(&secret),
+        name,
+        listen: fleet.listen,
+        advertise: fleet.advertise,
+        seeds: fleet.seeds.clone(),
+        about,
+        frame_bytes: fleet.frame_bytes,
+        folder: fleet.folder.clone(),
+        peers: planted(fleet.peers.clone()),
+    })
+}
+
+#[cfg(not(feature = "faults"))]
+fn build() -> String {
+    env!("CARGO_PKG_VERSION").to_owned()
+}
+
+#[cfg(not(feature = "faults"))]
+fn planted(peers: sillward_peers::Terms) -> sillward_peers::Terms {
+    peers
+}
+
+/// The ground tells one build from another by this.
+#[cfg(feature = "faults")]
+fn build() -> String {
+    sillward_seam::told("SILLWARD_FAULT_BUILD").unwrap_or_else(|| env!("CARGO_PKG_VERSION").to_owned())
+}
+
+#[cfg(feature = "faults")]
+fn planted(peers: sillward_peers::Terms) -> sillward_peers::Terms {
+    use sillward_peers::Plant;
+    let plant = match sillward_seam::told("SILLWARD_FAULT_PLANT").as_deref() {
+        Some("no-incarnation") => Some(Plant::NoIncarnation),
+        Some("one-way-blind") => Some(Plant::OneWayBlind),
+        Some("never-forget") => Some(Plant::NeverForget),
+        _ => None,
+    };
+    sillward_peers::Terms { plant, ..peers }
+}
+
+/// Starts the member; it says goodbye when `stop` is over.
+///
+/// # Errors
+/// See [`terms`]; or it can't listen.
+pub async fn start(
+    clock: Clock,
+    config: &Config,
+    fleet: &FleetTerms,
+    stop: impl Future<Output = ()> + 'static,
+) -> Result<Rc<Fleet>, String> {
+    let (fleet, listening) = Fleet::start(terms(config, fleet)?, clock).await?;
+    log(format_args!("{} listens for its fleet on {}", config.name, listening.address));
+    spawn_local(fleet.clone().run(listening, stop));
+    Ok(fleet)
+}
--- a/crates/assembly/src/fronts.rs
+++ b/crates/assembly/src/fronts.rs
@@ -7,6 +7,7 @@
 use sillward_config::Config;
 use sillward_core::{Budget, Intake, Live, Message};
 use sillward_handover::Holding;
+use sillward_links::Fleet;
 use sillward_listener::{Door, Hold, Life};
 use sillward_log::log;
 use sillward_membership::Membership;
@@ -107,6 +108,7 @@
         platform: Option<SocketAddr>,
         operator: Option<SocketAddr>,
         sources: Option<Rc<RefCell<Membership>>>,
+        fleet: Option<Rc<Fleet>>,
     ) -> Result<(), String> {
         let clock = self.clock;
         let page = |path, text: fn(Clock, &Rc<RefCell<Membership>>) -> String| {
@@ -115,16 +117,21 @@
             Route::new(Method::GET, path, move || Reply::json(text()))
         };
         let pages = || {
-            vec![
+            let mut all = vec![
                 page("/admin/membership", pages::membership),
                 page("/admin/membership/sources", pages::sources),
-            ]
+            ];
+            all.extend(fleet.clone().map(|fleet| {
+                let page = move || Reply::json(sillward_links::page::fleet(&fleet));
+                Route::new(Method::GET, "/admin/fleet", page)
+            }));
+            all
         };
         if let Some(address) = platform {
             let listener = bind(address).await?;
             self.said(&listener, "operators")?;
             let mut routes = control::routes(&self.life, &self.counters, &self.messages);
-            routes.extend(sources.is_some().then(pages).into_iter().flatten());
+            routes.extend((sources.is_some() || fleet.is_some()).then(pages).into_iter().flatten());
             spawn_local(Admin::new(routes).run(listener));
         }
         if let Some(address) = operator.filter(|address| platform != Some(*address)) {
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 mod control;
+mod fleet;
 mod fronts;
 mod handover;
 mod pages;
@@ -63,6 +64,17 @@
     }
 }
 
+/// Whether operator file and configuration go together.
+///
+/// # Errors
+/// All that does not, a line each, with the operator file's keys.
+pub fn fit(config: &Config, operator: &Operator) -> Result<(), String> {
+    let fleet = operator.fleet.as_ref().map(|terms| fleet::terms(config, terms));
+    let faults = [thrift_connections(config, operator).err(), fleet.and_then(Result::err)];
+    let faults: Vec<String> = faults.into_iter().flatten().collect();
+    if faults.is_empty() { Ok(()) } else { Err(faults.join("\n")) }
+}
+
 /// Runs a node until it is told to stop and has ended in good order. `shown` is called once, when its parts stand.
 ///
 /// # Errors
@@ -75,6 +87,7 @@
     shown: impl FnOnce(Insight),
 ) -> Result<(), String> {
     let config = Rc::new(config);
+    fit(&config, &operator)?;
     let thrift_connections = thrift_connections(&config, &operator)?;
     let listener = match config.listen_fd {
         Some(descriptor) => fronts::adopt(descriptor, config.listen)?,
@@ -120,6 +133,16 @@
     let said = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {said}", config.name));
 
+    let fleet = match &operator.fleet {
+        None => None,
+        Some(terms) => {
+            let mut stop = controls.stop.clone();
+            let stop = async move {
+                let _ = stop.wait_for(|stopped| *stopped).await; // its teller's end tells so too
+            };
+            Some(fleet::start(clock, &config, terms, stop).await?)
+        }
+    };
     let clients = config.client_connections - thrift_connections;
     let door = Door::new(life.clone(), clients, fronts::longest(&live));
     let doors = fronts::Fronts {
@@ -140,7 +163,7 @@
         doors.share().await;
         let http = doors.http(listener);
         let thrift = doors.thrift(operator.thrift);
-        doors.admin(config.admin, operator.admin, sources.membership).await?;
+        doors.admin(config.admin, operator.admin, sources.membership, fleet).await?;
         tokio::try_join!(http, thrift).map(drop)
     };
     tokio::select! {
--- /dev/null
+++ b/crates/links/src/envelope.rs
@@ -0,0 +1,217 @@
+//! A frame's envelope: the fleet's name, who sends it in which life, to which life, a number, and a keyed hash of it all.
+//! No I/O.
+//!
+//! Wire: the version (1 byte), the hash (16 bytes), then the protobuf message [`Words`]. The hash is BLAKE3's keyed one under
+//! a key derived from the fleet's, cut to 16 bytes: who does not have the key guesses one in 2^128.
+
+use prost::Message;
+use sillward_peers::words::{self, Frame};
+use sillward_peers::{Life, Name};
+use std::net::{IpAddr, SocketAddr};
+
+/// The version of the envelope. Another one is counted and dropped; what is added within one is skipped by who does not
+/// know it.
+const VERSION: u8 = 1;
+const MAC: usize = 16;
+/// The longest name of a fleet, in bytes.
+pub const MOST_FLEET: usize = 16;
+
+/// The fleet's key, by what it is used for.
+#[derive(Clone)]
+pub struct Keys {
+    frames: [u8; 32],
+    pub(crate) links: [u8; 32],
+}
+
+impl Keys {
+    /// Keys from the secret that the key file holds.
+    pub fn of(secret: &[u8]) -> Self {
+        Keys {
+            frames: blake3::derive_key("sillward 2026-12-01 fleet frames", secret),
+            links: blake3::derive_key("sillward 2026-12-01 fleet links", secret),
+        }
+    }
+}
+
+/// Keys are never printed.
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Keys")
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Words {
+    #[prost(string, tag = "1")]
+    fleet: String,
+    #[prost(string, tag = "2")]
+    name: String,
+    #[prost(bytes = "vec", tag = "3")]
+    address: Vec<u8>,
+    #[prost(uint32, tag = "4")]
+    epoch: u32,
+    #[prost(fixed32, tag = "5")]
+    salt: u32,
+    #[prost(uint64, tag = "6")]
+    number: u64,
+    #[prost(fixed32, tag = "7")]
+    to: u32,
+    #[prost(message, optional, tag = "8")]
+    frame: Option<Frame>,
+}
+
+/// A frame with what its envelope says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sealed {
+    /// The sender.
+    pub name: Name,
+    /// Where the sender says that it is reached.
+    pub address: SocketAddr,
+    /// The sender's life.
+    pub life: Life,
+    /// Rises from frame to frame of a life.
+    pub number: u64,
+    /// The salt of the life that it is for; 0 for a stranger's.
+    pub to: u32,
+    /// The frame.
+    pub frame: Frame,
+}
+
+/// Why something that came is not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Dropped {
+    /// Shorter or longer than any frame.
+    Length,
+    /// Another version of the envelope.
+    Version,
+    /// The hash is not the one under this key: another key, a forgery, or spoilt on the way.
+    Key,
+    /// Another fleet's, under the same key.
+    Fleet,
+    /// No message, or one without a name, address or life.
+    Nonsense,
+    /// The number has been seen, or is too old to tell.
+    Replayed,
+    /// Too many of one member's.
+    Rate,
+    /// More than this node reads of all.
+    Flood,
+}
+
+impl Dropped {
+    /// All there are.
+    pub const ALL: [Dropped; 8] = [
+        Dropped::Length,
+        Dropped::Version,
+        Dropped::Key,
+        Dropped::Fleet,
+        Dropped::Nonsense,
+        Dropped::Replayed,
+        Dropped::Rate,
+        Dropped::Flood,
+    ];
+
+    /// As operators read it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Dropped::Length => "length",
+            Dropped::Version => "version",
+            Dropped::Key => "key",
+            Dropped::Fleet => "fleet",
+            Dropped::Nonsense => "nonsense",
+            Dropped::Replayed => "replayed",
+            Dropped::Rate => "rate",
+            Dropped::Flood => "flood",
+        }
+    }
+}
+
+/// Makes envelopes, and opens them.
+pub struct Envelopes {
+    keys: Keys,
+    fleet: String,
+    most: usize,
+}
+
+impl Envelopes {
+    /// For a fleet; `most` is the most bytes of an envelope with its frame.
+    pub fn new(keys: Keys, fleet: &str, most: usize) -> Self {
+        Envelopes { keys, fleet: fleet.to_owned(), most }
+    }
+
+    /// What is left for a frame of that sender's, in bytes, at the worst.
+    pub fn room(&self, name: &Name, address: SocketAddr) -> usize {
+        let address = if address.is_ipv4() { 6 } else { 18 };
+        let words = 2 + self.fleet.len() + 2 + name.as_str().len() + 2 + address + 6 + 5 + 11 + 5 + 3;
+        self.most.saturating_sub(1 + MAC + words)
+    }
+
+    /// The bytes of a frame in its envelope.
+    pub fn seal(&self, sealed: &Sealed) -> Vec<u8> {
+        let mut address = match sealed.address.ip() {
+            IpAddr::V4(ip) => ip.octets().to_vec(),
+            IpAddr::V6(ip) => ip.octets().to_vec(),
+        };
+        address.extend(sealed.address.port().to_be_bytes());
+        let words = Words {
+            fleet: self.fleet.clone(),
+            name: sealed.name.as_str().to_owned(),
+            address,
+            epoch: sealed.life.epoch,
+            salt: sealed.life.salt,
+            number: sealed.number,
+            to: sealed.to,
+            frame: Some(sealed.frame.clone()),
+        };
+        let mut bytes = vec![VERSION];
+        bytes.resize(1 + MAC, 0);
+        words.encode_raw(&mut bytes);
+        let mac = self.mac(&bytes);
+        bytes[1..=MAC].copy_from_slice(&mac);
+        bytes
+    }
+
+    fn mac(&self, bytes: &[u8]) -> [u8; MAC] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.keys.frames);
+        hasher.update(&bytes[..1]).update(&bytes[1 + MAC..]);
+        let hash = hasher.finalize();
+        let mut mac = [0; MAC];
+        mac.copy_from_slice(&hash.as_bytes()[..MAC]);
+        mac
+    }
+
+    /// What stands in an envelope. Cheap checks come first; nothing that came is looked into before its hash was good.
+    ///
+    /// # Errors
+    /// Why it is not read.
+    pub fn open(&self, bytes: &[u8]) -> Result<Sealed, Dropped> {
+        if bytes.len() <= 1 + MAC || bytes.len() > self.most {
+            return Err(Dropped::Length);
+        }
+        if bytes[0] != VERSION {
+            return Err(Dropped::Version);
+        }
+        // In constant time: how long a comparison takes must not tell how much of a guess was right.
+        let differs = self.mac(bytes).iter().zip(&bytes[1..=MAC]).fold(0, |all, (a, b)| all | (a ^ b));
+        if differs != 0 {
+            return Err(Dropped::Key);
+        }
+        let words = Words::decode(&bytes[1 + MAC..]).map_err(|_| Dropped::Nonsense)?;
+        if words.fleet != self.fleet {
+            return Err(Dropped::Fleet);
+        }
+        let life = Life { epoch: words.epoch, salt: words.salt };
+        let good = life.epoch > 0 && life.salt > 0;
+        let read = || {
+            Some(Sealed {
+                name: Name::new(&words.name)?,
+                address: words::address(&words.address)?,
+                life,
+                number: words.number,
+                to: words.to,
+                frame: words.frame?,
+            })
+        };
+        good.then(read).flatten().ok_or(Dropped::Nonsense)
+    }
+}
--- /dev/null
+++ b/crates/links/src/guard.rs
@@ -0,0 +1,134 @@
+//! What a node lets in: each number of a life once, so much of each member, so much of all. No I/O, bounded memory.
+
+use crate::envelope::Dropped;
+use sillward_peers::{Life, Name};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Frames of one member, a second, and at once.
+const RATE: f64 = 400.0;
+const BURST: f64 = 800.0;
+/// Datagrams of all that are read, a second, and at once. What comes beyond that stays with the system, which drops it: at
+/// about 3 us each they take no more than 3 % of the node's core.
+const READS: f64 = 10_000.0;
+const READ_BURST: f64 = 2_000.0;
+
+/// So much a second, and so much at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    left: f64,
+    at: Duration,
+    rate: f64,
+    burst: f64,
+}
+
+impl Bucket {
+    /// A full one.
+    pub fn new(rate: f64, burst: f64, now: Duration) -> Self {
+        Bucket { left: burst, at: now, rate, burst }
+    }
+
+    /// Takes one, if there is one.
+    pub fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        self.left = (self.left + passed.as_secs_f64() * self.rate).min(self.burst);
+        let taken = self.left >= 1.0;
+        self.left -= f64::from(u8::from(taken));
+        taken
+    }
+}
+
+/// The numbers of a life that were seen: the highest, and which of the 127 before it.
+struct Window {
+    life: Life,
+    highest: u64,
+    seen: u128,
+    bucket: Bucket,
+    used: Duration,
+}
+
+/// The guard.
+pub struct Guard {
+    windows: BTreeMap<Name, Window>,
+    most: usize,
+    reads: Bucket,
+    dropped: BTreeMap<Dropped, u64>,
+    taken: u64,
+}
+
+impl Guard {
+    /// For at most so many members.
+    pub fn new(most: usize, now: Duration) -> Self {
+        let reads = Bucket::new(READS, READ_BURST, now);
+        Guard { windows: BTreeMap::new(), most, reads, dropped: BTreeMap::new(), taken: 0 }
+    }
+
+    /// Whether one more datagram is looked at.
+    pub fn may_read(&mut self, now: Duration) -> bool {
+        self.reads.take(now)
+    }
+
+    /// Counts what was dropped.
+    pub fn note(&mut self, why: Dropped) {
+        *self.dropped.entry(why).or_default() += 1;
+    }
+
+    /// How often something was dropped for that reason.
+    pub fn dropped(&self, why: Dropped) -> u64 {
+        self.dropped.get(&why).copied().unwrap_or_default()
+    }
+
+    /// How many frames were let in.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
+    /// Lets a frame in, whose hash was good, or says why not.
+    ///
+    /// # Errors
+    /// Its number was seen, or its sender sends too much.
+    pub fn admit(&mut self, now: Duration, name: &Name, life: Life, number: u64) -> Result<(), Dropped> {
+        if !self.windows.contains_key(name) {
+            if self.windows.len() >= self.most {
+                let oldest = self.windows.iter().min_by_key(|(_, window)| window.used);
+                if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                    self.windows.remove(&name);
+                }
+            }
+            let bucket = Bucket::new(RATE, BURST, now);
+            self.windows.insert(name.clone(), Window { life, highest: 0, seen: 0, bucket, used: now });
+        }
+        let Some(window) = self.windows.get_mut(name) else { return Err(Dropped::Rate) };
+        window.used = now;
+        if !window.bucket.take(now) {
+            return Err(Dropped::Rate);
+        }
+        if life < window.life {
+            // Of an ended life: its sender is told so at most, and nothing that it says is believed.
+            self.taken += 1;
+            return Ok(());
+        }
+        if life > window.life {
+            (window.life, window.highest, window.seen) = (life, 0, 0);
+        }
+        if number > window.highest {
+            let by = number - window.highest;
+            window.seen = if by < 128 { window.seen << by | 1 } else { 1 };
+            window.highest = number;
+        } else {
+            let back = window.highest - number;
+            if back >= 128 || window.seen & 1 << back != 0 {
+                return Err(Dropped::Replayed);
+            }
+            window.seen |= 1 << back;
+        }
+        self.taken += 1;
+        Ok(())
+    }
+
+    /// Members whose numbers are remembered.
+    pub fn known(&self) -> usize {
+        self.windows.len()
+    }
+}
--- /dev/null
+++ b/crates/links/src/lib.rs
@@ -0,0 +1,401 @@
+//! What carries the fleet's frames and longer state: datagrams for frames, a connection a pair at need for the rest. What
+//! they say is decided by [`sillward_peers`]; what is let in, by [`guard`] and [`envelope`].
+//!
+//! Other parts of the node write values and post messages here, and open no sockets of their own.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod envelope;
+pub mod guard;
+mod link;
+mod memory;
+pub mod outbox;
+pub mod page;
+pub mod session;
+
+use envelope::{Dropped, Envelopes, Keys, Sealed};
+use guard::Guard;
+use link::Link;
+use outbox::Posted;
+use prost::Message;
+use session::Long;
+use sillward_log::{log, log_peer};
+use sillward_peers::words::Sync;
+use sillward_peers::{About, Action, Event, Life, Me, Name, Peers, Standing, SyncStep};
+use sillward_seam::net::{TcpListener, UdpSocket};
+use sillward_seam::task::{JoinSet, spawn_local};
+use sillward_seam::time::{Instant, sleep_until};
+use sillward_seam::{Clock, files, random};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+
+/// Links at once, and connections that were taken.
+const MOST_LINKS: usize = 128;
+/// A dial, a greeting, or a write that takes longer is given up.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// A link that carries nothing for so long is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// After more datagrams than a node reads, nothing is read for so long; the system drops what it has no room for.
+const PAUSE: Duration = Duration::from_millis(20);
+/// The topic of bringing up to date. Those of other parts are higher.
+const SYNC: u32 = 1;
+/// Tries to have one port for both kinds of sockets.
+const TRIES: usize = 16;
+
+/// What a fleet's member needs to know.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The fleet's name: at most [`envelope::MOST_FLEET`] bytes.
+    pub fleet: String,
+    /// Its keys.
+    pub keys: Keys,
+    /// This member's name.
+    pub name: Name,
+    /// Where it listens, for datagrams and connections.
+    pub listen: SocketAddr,
+    /// Where the others reach it, if that is not where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// Whom it asks first.
+    pub seeds: Vec<SocketAddr>,
+    /// What it tells of itself.
+    pub about: About,
+    /// The most bytes of a frame with its envelope.
+    pub frame_bytes: usize,
+    /// Where it remembers its last life.
+    pub folder: Option<PathBuf>,
+    /// Times and bounds of membership; how long a frame may be is filled in.
+    pub peers: sillward_peers::Terms,
+}
+
+type Hearer = Rc<dyn Fn(&Name, Life, &[u8])>;
+
+/// This member of the fleet.
+pub struct Fleet {
+    clock: Clock,
+    fleet: String,
+    name: Name,
+    own_ip: IpAddr,
+    keys: Keys,
+    envelopes: Envelopes,
+    peers: RefCell<Peers>,
+    guard: RefCell<Guard>,
+    /// The number of the last frame, in the life that it was of.
+    number: Cell<(Life, u64)>,
+    links: RefCell<BTreeMap<Name, Rc<Link>>>,
+    hearers: RefCell<BTreeMap<u32, Hearer>>,
+    /// Something may be due earlier than it was.
+    sooner: Notify,
+    /// What follows from words over links, for the loop to carry out: bounded by what one link can say before it runs.
+    later: RefCell<Vec<Action>>,
+    keep: Option<mpsc::UnboundedSender<Life>>,
+    /// Whether the folder has the present life.
+    kept: Rc<Cell<Option<bool>>>,
+    sent: Cell<(u64, u64)>,
+    sent_long: Cell<(u64, u64)>,
+    received: Cell<(u64, u64)>,
+    unsent: Cell<u64>,
+    bad_links: Cell<u64>,
+    dropped_long: Cell<u64>,
+    started: Duration,
+}
+
+/// The sockets of a member that does not run yet.
+pub struct Listening {
+    udp: UdpSocket,
+    tcp: TcpListener,
+    /// Where both listen.
+    pub address: SocketAddr,
+}
+
+/// Opens both sockets at one address.
+async fn listen(at: SocketAddr) -> Result<Listening, String> {
+    let wrong = |e: std::io::Error| format!("cannot listen for the fleet on {at}: {e}");
+    for tries in 1.. {
+        let tcp = TcpListener::bind(at).await.map_err(wrong)?;
+        let address = tcp.local_addr().map_err(wrong)?;
+        match UdpSocket::bind(address).await {
+            Ok(udp) => return Ok(Listening { udp, tcp, address }),
+            Err(_) if at.port() == 0 && tries < TRIES => {}
+            Err(e) => return Err(wrong(e)),
+        }
+    }
+    Err("unreachable".to_owned())
+}
+
+impl Fleet {
+    /// Opens the sockets and begins a life.
+    ///
+    /// # Errors
+    /// It can't listen, its folder can't be made, or the system has no random numbers.
+    pub async fn start(terms: Terms, clock: Clock) -> Result<(Rc<Self>, Listening), String> {
+        let listening = listen(terms.listen).await?;
+        let address = terms.advertise.unwrap_or(listening.address);
+        let now = clock.now();
+        let epoch = match &terms.folder {
+            None => 0,
+            Some(folder) => {
+                let wrong =
+                    |e: std::io::Error| format!("cannot use the fleet's folder {}: {e}", folder.display());
+                files::folder(folder).map_err(wrong)?;
+                let bytes = files::read(&folder.join(memory::FILE), memory::MOST).map_err(wrong)?;
+                match bytes.map(|bytes| memory::epoch(&terms.name, &bytes)) {
+                    Some(Some(epoch)) => epoch,
+                    Some(None) => {
+                        log(format_args!(
+                            "the file {} in {} is spoilt or another node's: it counts as lost",
+                            memory::FILE,
+                            folder.display()
+                        ));
+                        0
+                    }
+                    None => 0,
+                }
+            }
+        };
+        let seed = random::entropy().map_err(|e| format!("no random numbers for the fleet: {e}"))?;
+        let envelopes = Envelopes::new(terms.keys.clone(), &terms.fleet, terms.frame_bytes);
+        let room = envelopes.room(&terms.name, address);
+        let (about, seeds) = (terms.about, terms.seeds);
+        let me = Me { name: terms.name.clone(), address, about, seeds };
+        let most = terms.peers.most;
+        let peers = Peers::new(sillward_peers::Terms { frame: room, ..terms.peers }, me, epoch, seed, now);
+        let kept = Rc::new(Cell::new(None));
+        let keep = terms.folder.map(|folder| {
+            let (keep, lives) = mpsc::unbounded_channel();
+            spawn_local(keep_lives(folder, terms.name.clone(), lives, kept.clone()));
+            keep
+        });
+        let fleet = Rc::new(Fleet {
+            clock,
+            fleet: terms.fleet,
+            name: terms.name,
+            own_ip: listening.address.ip(),
+            keys: terms.keys,
+            envelopes,
+            number: Cell::new((peers.life(), 0)),
+            peers: RefCell::new(peers),
+            guard: RefCell::new(Guard::new(most, now)),
+            links: RefCell::default(),
+            hearers: RefCell::default(),
+            sooner: Notify::new(),
+            later: RefCell::default(),
+            keep,
+            kept,
+            sent: Cell::default(),
+            sent_long: Cell::default(),
+            received: Cell::default(),
+            unsent: Cell::default(),
+            bad_links: Cell::default(),
+            dropped_long: Cell::default(),
+            started: now,
+        });
+        Ok((fleet, listening))
+    }
+
+    /// Runs until it is told to stop, and says goodbye then.
+    pub async fn run(self: Rc<Self>, listening: Listening, stop: impl Future<Output = ()>) {
+        let Listening { udp, tcp, .. } = listening;
+        let mut stop = pin!(stop);
+        let mut taken: JoinSet<()> = JoinSet::new();
+        let mut buffer = vec![0; 2048];
+        let mut reads_from: Option<Instant> = None;
+        loop {
+            let due = self.clock.instant(self.peers.borrow().next());
+            let due = reads_from.map_or(due, |from| due.min(from));
+            tokio::select! {
+                biased;
+                () = &mut stop => break,
+                () = sleep_until(due) => {
+                    reads_from = reads_from.filter(|from| *from > Instant::now());
+                    self.event(&udp, Event::Turn);
+                }
+                () = self.sooner.notified() => self.event(&udp, Event::Turn),
+                received = udp.receive(&mut buffer), if reads_from.is_none() => {
+                    // An error is about an earlier send that nobody was there for.
+                    if let Ok((count, _)) = received {
+                        if !self.datagram(&udp, &buffer[..count]) {
+                            reads_from = Some(Instant::now() + PAUSE);
+                        }
+                    }
+                }
+                Some(_) = taken.join_next() => {}
+                accepted = tcp.accept() => match accepted {
+                    Ok((stream, _)) if taken.len() < MOST_LINKS => taken.spawn_local(self.clone().accepted(stream)),
+                    Ok(_) => self.bad_links.set(self.bad_links.get() + 1),
+                    Err(_) => reads_from = Some(Instant::now() + PAUSE), // out of descriptors
+                },
+            }
+        }
+        self.event(&udp, Event::Leave);
+    }
+
+    /// Takes an event to the machine and carries out what follows.
+    fn event(self: &Rc<Self>, udp: &UdpSocket, event: Event) {
+        let mut actions = self.later.take();
+        actions.extend(self.peers.borrow_mut().handle(self.clock.now(), event));
+        self.act(udp, actions);
+    }
+
+    fn act(self: &Rc<Self>, udp: &UdpSocket, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, salt, frame } => {
+                    let sealed = self.numbered(salt, frame);
+                    let bytes = self.envelopes.seal(&sealed);
+                    self.note_sent(bytes.len(), false);
+                    if udp.send(&bytes, to).is_err() {
+                        self.unsent.set(self.unsent.get() + 1); // as if it had been lost on the way
+                    }
+                }
+                Action::Sync { to, address, words } => {
+                    let slot = words.step;
+                    self.post(&to, address, Posted { topic: SYNC, slot, bytes: words.encode_to_vec() });
+                }
+                Action::Keep(life) => {
+                    self.kept.set(None);
+                    // One that can't be kept is told on the page; lives are told apart by their salts all the same.
+                    let _ = self.keep.as_ref().map(|keep| keep.send(life));
+                }
+                Action::News(what) => log_peer(format_args!("fleet {}: {what}", self.fleet)),
+            }
+        }
+    }
+
+    fn numbered(&self, to: u32, frame: sillward_peers::words::Frame) -> Sealed {
+        let peers = self.peers.borrow();
+        let (life, number) = self.number.get();
+        let number = if life == peers.life() { number + 1 } else { 1 };
+        self.number.set((peers.life(), number));
+        let me = peers.me();
+        Sealed { name: me.name.clone(), address: me.address, life: peers.life(), number, to, frame }
+    }
+
+    /// Takes a datagram; false once more come than are read.
+    fn datagram(self: &Rc<Self>, udp: &UdpSocket, bytes: &[u8]) -> bool {
+        let now = self.clock.now();
+        let mut guard = self.guard.borrow_mut();
+        if !guard.may_read(now) {
+            guard.note(Dropped::Flood);
+            return false;
+        }
+        let (frames, all) = self.received.get();
+        self.received.set((frames + 1, all + bytes.len() as u64));
+        let opened = self.envelopes.open(bytes);
+        let admitted = opened
+            .and_then(|sealed| guard.admit(now, &sealed.name, sealed.life, sealed.number).map(|()| sealed));
+        match admitted {
+            Err(why) => guard.note(why),
+            Ok(Sealed { name, address, life, to, frame, .. }) => {
+                drop(guard);
+                self.event(udp, Event::Frame { name, address, life, to, frame });
+            }
+        }
+        true
+    }
+
+    /// A message over a link; false if the link is of a life that has ended.
+    fn heard(self: &Rc<Self>, name: &Name, life: Life, own: Life, long: &Long) -> bool {
+        let (frames, all) = self.received.get();
+        self.received.set((frames, all + long.bytes.len() as u64));
+        // A pause is seen before anything is believed that came before it was over.
+        let actions = self.peers.borrow_mut().handle(self.clock.now(), Event::Turn);
+        self.act_later(actions);
+        if self.life() != own {
+            return false;
+        }
+        if long.topic == SYNC {
+            let Ok(words) = Sync::decode(&*long.bytes) else { return false };
+            let step = SyncStep { name: name.clone(), life, words };
+            let actions = self.peers.borrow_mut().handle(self.clock.now(), Event::Sync(step));
+            self.act_later(actions);
+            return true;
+        }
+        let hearer = self.hearers.borrow().get(&long.topic).cloned();
+        if let Some(hearer) = hearer {
+            hearer(name, life, &long.bytes); // another topic is a newer build's
+        }
+        true
+    }
+
+    /// Carries out what can be without the socket for datagrams; the rest waits for the loop, which has it.
+    fn act_later(self: &Rc<Self>, actions: Vec<Action>) {
+        if actions.is_empty() {
+            return;
+        }
+        self.later.borrow_mut().extend(actions);
+        self.sooner.notify_one();
+    }
+
+    fn note_sent(&self, bytes: usize, long: bool) {
+        let sent = if long { &self.sent_long } else { &self.sent };
+        let (count, all) = sent.get();
+        sent.set((count + 1, all + bytes as u64));
+    }
+
+    /// What was sent: datagrams, their bytes, messages over links, theirs.
+    pub fn sent(&self) -> [u64; 4] {
+        let ((frames, bytes), (messages, longs)) = (self.sent.get(), self.sent_long.get());
+        [frames, bytes, messages, longs]
+    }
+
+    // ---- For other parts ----------------------------------------------------------------------
+
+    /// This life.
+    pub fn life(&self) -> Life {
+        self.peers.borrow().life()
+    }
+
+    /// How this node stands to the fleet, seen now: a pause that nobody has noticed is noticed here.
+    pub fn standing(self: &Rc<Self>) -> Standing {
+        let now = self.clock.now();
+        let actions = self.peers.borrow_mut().handle(now, Event::Turn);
+        self.act_later(actions);
+        self.peers.borrow().standing(now)
+    }
+
+    /// Tells the fleet a value of this node's own.
+    ///
+    /// # Errors
+    /// It is over the bounds.
+    pub fn tell(&self, key: &str, bytes: &[u8]) -> Result<(), &'static str> {
+        let told = self.peers.borrow_mut().tell(key, bytes, self.clock.now());
+        self.sooner.notify_one();
+        told
+    }
+
+    /// Looks at what is known of the others.
+    pub fn with<T>(&self, look: impl FnOnce(&Peers) -> T) -> T {
+        look(&self.peers.borrow())
+    }
+
+    /// Hears messages of a topic, 2 or higher, from now on.
+    pub fn hear(&self, topic: u32, hearer: impl Fn(&Name, Life, &[u8]) + 'static) {
+        self.hearers.borrow_mut().insert(topic, Rc::new(hearer));
+    }
+}
+
+/// Keeps lives in the folder, one after the other; of those that wait the last alone.
+async fn keep_lives(
+    folder: PathBuf,
+    name: Name,
+    mut lives: mpsc::UnboundedReceiver<Life>,
+    kept: Rc<Cell<Option<bool>>>,
+) {
+    while let Some(mut life) = lives.recv().await {
+        while let Ok(newer) = lives.try_recv() {
+            life = newer;
+        }
+        let text = memory::text(&name, life.epoch);
+        let done = files::keep_aside(&folder.join(memory::FILE), text.into_bytes()).await;
+        if let Err(e) = &done {
+            log(format_args!("cannot keep life {life} in {}: {e}", folder.display()));
+        }
+        kept.set(Some(done.is_ok()));
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,9 +4,11 @@
 #![warn(missing_docs)]
 
 mod etcd;
+mod fleet;
 mod reader;
 mod thrift;
 
+pub use fleet::FleetTerms;
 pub use reader::Fault;
 
 use hillpick::settings::Site;
@@ -24,6 +26,8 @@
     pub thrift_backends: Vec<BackendTerms>,
     /// Membership from etcd, with the guard of its lists.
     pub etcd: Option<(sillward_etcd::Terms, Guard)>,
+    /// The fleet that this node is a member of.
+    pub fleet: Option<FleetTerms>,
     /// A listener for operators' pages.
     pub admin: Option<SocketAddr>,
 }
@@ -48,6 +52,10 @@
             operator.etcd = etcd::read(&section, site);
             section.end();
         }
+        if let Some(section) = root.table("fleet") {
+            operator.fleet = fleet::read(&section);
+            section.end();
+        }
         if let Some(section) = root.table("thrift") {
             thrift::read(&section, site, &mut operator);
             section.end();
--- a/crates/peers/src/machine.rs
+++ b/crates/peers/src/machine.rs
@@ -25,6 +25,13 @@
 const LATE: Duration = Duration::from_millis(100);
 /// Members that a rumour goes to at a time.
 const FAN_OUT: usize = 3;
+/// Frames of rumours alone, a second and at once: with a frame's 256 bytes and 28 of headers, and the probes beside them, a
+/// node stays under 4 kB/s however much there is to tell.
+const GOSSIP_RATE: f64 = 9.0;
+const GOSSIP_BURST: f64 = 40.0;
+/// Beyond so many rumours at once each is told less often: what some miss is found by comparing.
+const MANY: usize = 16;
+const FEWEST: u32 = 3;
 /// Suspicions by so many others shorten the wait to its least.
 const CONFIRMED: usize = 3;
 /// About so many of those who hear of a suspicion look for themselves at once.
@@ -37,10 +44,13 @@
 /// How often one that is gone, or a seed that is nobody's address, is asked whether it is there.
 const REJOIN: Duration = Duration::from_secs(1);
 /// What two nodes know may differ for so long before they compare it: rumours are faster than that.
-const DIFFER: Duration = Duration::from_millis(1500);
+const DIFFER: Duration = Duration::from_millis(1000);
 /// Between two comparisons that this node begins; longer while they bring nothing.
-const SYNC: Duration = Duration::from_secs(2);
-const LONGEST_SYNC: Duration = Duration::from_secs(32);
+const SYNC: Duration = Duration::from_secs(1);
+const LONGEST_SYNC: Duration = Duration::from_secs(4);
+/// Bytes a second that comparisons may cost a node, as the one that asks and as the one that answers: after a large one the
+/// next waits. One that is asked too soon stays silent, and the asker tries another.
+const SYNC_BYTES: f64 = 4_000.0;
 /// Answers to strangers, and to those who speak to or from an earlier life, a second.
 const COURTESY: u32 = 100;
 /// So many lives within that time, because another claims this name, are a conflict: this node is silent for that time.
@@ -232,12 +242,16 @@
     heard: Option<Duration>,
     next_probe: Duration,
     next_gossip: Duration,
+    /// Frames of rumours that may go out, as of when.
+    gossip_left: (f64, Duration),
     next_ask: Duration,
     ask_pause: Duration,
     next_rejoin: Duration,
     differs: Option<Duration>,
     next_sync: Duration,
     sync_pause: Duration,
+    /// Until when no comparison is answered.
+    sync_answered: Duration,
     courtesy: (Duration, u32),
     lives: VecDeque<Duration>,
     silent_until: Duration,
@@ -269,12 +283,14 @@
             heard: None,
             next_probe: now,
             next_gossip: now,
+            gossip_left: (GOSSIP_BURST, now),
             next_ask: now,
             ask_pause: FIRST_ASK,
             next_rejoin: now + REJOIN,
             differs: None,
             next_sync: now,
             sync_pause: SYNC,
+            sync_answered: now,
             courtesy: (now, 0),
             lives: VecDeque::new(),
             silent_until: Duration::ZERO,
@@ -294,7 +310,9 @@
         self.wake(now);
         match event {
             Event::Turn => self.turn(now),
-            Event::Frame { name, address, life, to, frame } => self.frame(now, name, address, life, to, &frame),
+            Event::Frame { name, address, life, to, frame } => {
+                self.frame(now, name, address, life, to, &frame)
+            }
             Event::Sync(step) => self.sync(now, &step),
             Event::Leave => self.leave(),
         }
@@ -530,15 +548,7 @@
 
     // ---- What comes in ------------------------------------------------------------------------
 
-    fn frame(
-        &mut self,
-        now: Duration,
-        name: Name,
-        address: SocketAddr,
-        life: Life,
-        to: u32,
-        frame: &Frame,
-    ) {
+    fn frame(&mut self, now: Duration, name: Name, address: SocketAddr, life: Life, to: u32, frame: &Frame) {
         if self.silent_until > now || self.leaving {
             return;
         }
@@ -754,11 +764,9 @@
                 return;
             }
         }
-        let claim = self.claim();
-        let answer = sync::answer(&self.members, &self.own(&claim), &step.words);
-        if let Some(words) = answer {
-            let address = self.members.get(&step.name).map_or(self.me.address, |member| member.address);
-            self.out.push(Action::Sync { to: step.name.clone(), address, words });
+        if step.words.step == 1 && now < self.sync_answered {
+            self.figures.discourteous += 1;
+            return;
         }
         let (claims, nonsense) = sync::claims(&step.words);
         self.figures.nonsense += nonsense as u64;
@@ -774,7 +782,21 @@
         self.take_values(&step.words.values, false);
         if self.print() != before {
             self.figures.fruitful_syncs += 1;
-            self.sync_pause = SYNC;
+        }
+        if step.words.step == 2 {
+            self.sync_pause = SYNC; // something did differ
+        }
+        let claim = self.claim();
+        let answer = sync::answer(&self.members, &self.own(&claim), &step.words);
+        let cost = answer.as_ref().map_or(0, Message::encoded_len) + step.words.encoded_len();
+        let rest = now + Duration::from_secs_f64(cost as f64 / SYNC_BYTES);
+        match step.words.step {
+            1 | 3 => self.sync_answered = self.sync_answered.max(rest),
+            _ => self.next_sync = self.next_sync.max(rest),
+        }
+        if let Some(words) = answer {
+            let address = self.members.get(&step.name).map_or(self.me.address, |member| member.address);
+            self.out.push(Action::Sync { to: step.name.clone(), address, words });
         }
     }
 
@@ -793,6 +815,7 @@
         frame.print = self.print().max(1);
         let mut size = frame.encoded_len();
         let limit = 4 * (self.members.living().len() as f64 + 2.0).log10().ceil() as u32;
+        let limit = (limit * MANY as u32 / self.rumours.len().max(MANY) as u32).max(FEWEST);
         let mut told = Vec::new();
         // A frame holds a handful; those that are too long for what is left make way for shorter ones behind them.
         for subject in self.rumours.first(12) {
@@ -965,7 +988,11 @@
             return;
         }
         self.next_gossip = now + self.terms.gossip;
-        for name in self.some_living(FAN_OUT, None) {
+        let (left, at) = self.gossip_left;
+        let left = (left + now.saturating_sub(at).as_secs_f64() * GOSSIP_RATE).min(GOSSIP_BURST);
+        let count = FAN_OUT.min(left as usize);
+        self.gossip_left = (left - count as f64, now);
+        for name in self.some_living(count, None) {
             if !self.rumours.is_empty() {
                 self.send(&name, Frame::default());
             }
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -44,7 +44,7 @@
     pub about: About,
     pub(crate) values: Values,
     pub(crate) suspicion: Option<Suspicion>,
-    print: u32,
+    pub(crate) print: u32,
 }
 
 impl Member {
@@ -55,7 +55,7 @@
             life: self.life,
             word: self.word,
             state: self.state,
-            by: self.suspicion.as_ref().and_then(|s| s.by.first().copied()).unwrap_or_default(),
+            by: self.suspicion.as_ref().and_then(|s| s.by.last().copied()).unwrap_or_default(),
         }
     }
 
@@ -152,7 +152,8 @@
         if !claim.outdoes(member.life, member.word, member.state) {
             // One more who suspects what is suspected: told on, as it shortens the wait.
             let same = (claim.life, claim.word, claim.state) == (member.life, member.word, State::Suspected);
-            if let (true, Some(suspicion)) = (same && member.state == State::Suspected, &mut member.suspicion) {
+            if let (true, Some(suspicion)) = (same && member.state == State::Suspected, &mut member.suspicion)
+            {
                 if suspicion.by.len() < 8 && claim.by != 0 && !suspicion.by.contains(&claim.by) {
                     suspicion.by.push(claim.by);
                     return Change::State;
@@ -182,9 +183,10 @@
     /// Brings what is derived from a member in line with it.
     fn placed(&mut self, name: &Name, claim: &Claim, now: Duration) {
         let Some(member) = self.all.get_mut(name) else { return };
-        member.suspicion = (member.state == State::Suspected)
-            .then(|| Suspicion { since: now, by: vec![claim.by] });
-        let print = if member.state.is_living() { values::print(name, member.life, &member.values) } else { 0 };
+        member.suspicion =
+            (member.state == State::Suspected).then(|| Suspicion { since: now, by: vec![claim.by] });
+        let print =
+            if member.state.is_living() { values::print(name, member.life, &member.values) } else { 0 };
         self.prints[Self::part(name)] ^= member.print ^ print;
         member.print = print;
         let living = member.state.is_living();
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -101,7 +101,8 @@
 /// A step of two members' bringing each other up to date.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Sync {
-    /// 1 asks, 2 answers, 3 gives back. A higher one is of a newer build and is skipped.
+    /// 1 asks, 2 says what stands in the parts that differ, 3 gives and wants, 4 gives. A higher one is of a newer build and
+    /// is skipped.
     #[prost(uint32, tag = "1")]
     pub step: u32,
     /// Prints of the sender's parts.
@@ -116,6 +117,12 @@
     /// Their values.
     #[prost(message, repeated, tag = "5")]
     pub values: Vec<Told>,
+    /// Of each member of those parts the hash of its name, and its print.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub stand: Vec<u32>,
+    /// Hashes of names of members that the sender lacks, or knows otherwise.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub wants: Vec<u32>,
 }
 
 /// What a member tells of itself at the start of a life: the value under the key `about`.
--- a/crates/peers/tests/fleets.rs
+++ b/crates/peers/tests/fleets.rs
@@ -133,7 +133,8 @@
 
     fn act(&mut self, i: usize, actions: Vec<Action>) {
         for action in actions {
-            let (name, life) = (self.nodes[i].name.clone(), self.nodes[i].peers.as_ref().expect("it acts").life());
+            let (name, life) =
+                (self.nodes[i].name.clone(), self.nodes[i].peers.as_ref().expect("it acts").life());
             match action {
                 Action::Send { to, salt, frame } => {
                     self.nodes[i].sent += 1;
@@ -168,7 +169,9 @@
         let now = self.now;
         let Some(peers) = self.nodes[to].peers.as_mut() else { return };
         let event = match mail {
-            Mail::Frame { name, from, life, to, frame } => Event::Frame { name, address: from, life, to, frame },
+            Mail::Frame { name, from, life, to, frame } => {
+                Event::Frame { name, address: from, life, to, frame }
+            }
             Mail::Sync { name, life, to_life, words } if to_life == peers.life() => {
                 Event::Sync(SyncStep { name, life, words })
             }
@@ -215,11 +218,13 @@
 
     /// Notes who that lives is called gone, by whom, and for how long.
     fn look(&mut self) {
-        let lives: Vec<_> = self.nodes.iter().map(|n| n.peers.as_ref().filter(|_| !n.paused).map(Peers::life)).collect();
+        let lives: Vec<_> =
+            self.nodes.iter().map(|n| n.peers.as_ref().filter(|_| !n.paused).map(Peers::life)).collect();
         for (by, node) in self.nodes.iter().enumerate() {
             let Some(peers) = node.peers.as_ref().filter(|_| !node.paused) else { continue };
             for (of, life) in lives.iter().enumerate().filter(|(of, life)| *of != by && life.is_some()) {
-                let gone = peers.member(&name(of)).is_some_and(|m| m.state == State::Gone && Some(m.life) == *life);
+                let gone =
+                    peers.member(&name(of)).is_some_and(|m| m.state == State::Gone && Some(m.life) == *life);
                 if !gone {
                     self.wronged.remove(&(by, of));
                 } else if let Some(since) = self.wronged.get(&(by, of)) {
@@ -439,7 +444,9 @@
         (fleet.loss, fleet.delay) = (0, (1, 3));
         fleet.until_agreed(SECOND * 20);
     }
-    println!("30 % loss, 300 ms each way, 12 members, 900 s: {alarms} pairs of false alarms, worst {worst:?}");
+    println!(
+        "30 % loss, 300 ms each way, 12 members, 900 s: {alarms} pairs of false alarms, worst {worst:?}"
+    );
     assert!(worst < SECOND * 6, "{worst:?}");
     assert!(alarms <= 11 * 3, "{alarms}");
 }
@@ -453,7 +460,9 @@
         fleet.cuts.insert((other, 6));
     }
     fleet.run(SECOND * 30);
-    let lives = |fleet: &Fleet| fleet.nodes.iter().map(|n| n.peers.as_ref().expect("it runs").figures().lives).sum::<u64>();
+    let lives = |fleet: &Fleet| {
+        fleet.nodes.iter().map(|n| n.peers.as_ref().expect("it runs").figures().lives).sum::<u64>()
+    };
     assert_eq!(lives(&fleet) - fleet.nodes[6].peers.as_ref().expect("it runs").figures().lives, 7);
     assert_eq!(fleet.nodes[6].peers.as_ref().expect("it runs").standing(fleet.now), Standing::Alone);
     for by in (0..8).filter(|i| *i != 6) {
@@ -521,7 +530,13 @@
     fleet.start(2);
     fleet.until_agreed(SECOND * 10);
     let (life, at_1) = (fleet.nodes[1].peers.as_ref().expect("it runs").life(), fleet.nodes[1].at);
-    let lie = Update { name: "ghost".into(), address: vec![127, 1, 1, 1, 1, 1], epoch: 1, salt: 1, ..Update::default() };
+    let lie = Update {
+        name: "ghost".into(),
+        address: vec![127, 1, 1, 1, 1, 1],
+        epoch: 1,
+        salt: 1,
+        ..Update::default()
+    };
     let frame = Frame { updates: vec![lie], ..Frame::default() };
     let before = fleet.nodes[2].peers.as_ref().expect("it runs").figures().to_earlier;
     fleet.deliver(2, Mail::Frame { name: name(1), from: at_1, life, to: old.salt, frame });
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, etcd, few, load, night, pages, thrift};
+use rig::scenario::{self, demo, etcd, few, load, night, pages, plants, sizes, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -93,6 +93,24 @@
         #[arg(long)]
         plant: Option<PagesPlant>,
     },
+    /// Plays each plant of each short scenario once: each must be found by the check that is meant for it
+    Plants {
+        /// So many side by side
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+    },
+    /// What membership costs and how fast it is at these sizes, on a virtual clock
+    Sizes {
+        #[arg(long, value_delimiter = ',', default_value = "12,30,100,300,734")]
+        nodes: Vec<usize>,
+        #[arg(long, value_delimiter = ',', default_value = "1")]
+        seeds: Vec<u64>,
+        /// Deaths, and as many births
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        #[arg(long, default_value_t = 256)]
+        frame_bytes: usize,
+    },
     /// Puts a value
     Put {
         #[command(subcommand)]
@@ -202,6 +220,7 @@
             | What::Few { .. }
             | What::Load { .. }
             | What::Pages { .. }
+            | What::Plants { .. }
     ) && !build()
     {
         eprintln!("the node could not be built");
@@ -246,6 +265,10 @@
         What::Pages { pages, plant } => {
             pages::run(&pages::Options { pages, stale: matches!(plant, Some(PagesPlant::Stale)) })
         }
+        What::Plants { jobs } => plants::run(jobs),
+        What::Sizes { nodes, seeds, rounds, frame_bytes } => {
+            sizes::run(&sizes::Options { nodes, seeds, rounds, frame_bytes })
+        }
         What::Put { into: PutInto::Etcd { to, key, value } } => match rig::etcd::put(to, &key, &value) {
             Ok(revision) => {
                 println!("revision {revision}");
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -6,6 +6,8 @@
 pub mod load;
 pub mod night;
 pub mod pages;
+pub mod plants;
+pub mod sizes;
 pub mod thrift;
 
 use std::fmt::Display;
--- a/crates/rig/src/scenario/night.rs
+++ b/crates/rig/src/scenario/night.rs
@@ -36,6 +36,9 @@
     /// A mistake in the node that the checkers must find
     #[arg(long)]
     plant: Option<Plant>,
+    /// Rare plants strike often: shows in few nights that their checkers see
+    #[arg(long, requires = "plant")]
+    often: bool,
     /// Plays this seed, or this script's file, again
     #[arg(long, value_name = "SEED|FILE")]
     replay: Option<String>,
@@ -108,7 +111,7 @@
 /// Runs what was asked for; the exit code.
 pub fn run(options: &Options) -> u8 {
     let plant = options.plant.map(plants::Plant::from);
-    let play = Play { plant, ..Play::default() };
+    let play = Play { plant, often: options.often, ..Play::default() };
     let done = if let Some(what) = &options.replay {
         replay(options, &play, what)
     } else if let Some(what) = &options.explain {
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod clock;
+pub mod files;
 pub mod local;
 pub mod net;
 mod stream;
@@ -14,6 +15,12 @@
 pub use clock::Clock;
 pub use stream::{Handle, Stream};
 
+/// What the environment tells of a fault. Not there in what ships.
+#[cfg(feature = "faults")]
+pub fn told(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 /// Monotonic time, and waiting for it.
 pub mod time {
     pub use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout, timeout_at};
@@ -29,6 +36,17 @@
     use rand_pcg::Pcg32;
     use rand_pcg::rand_core::{RngCore, SeedableRng};
 
+    /// A number that differs from process to process, as far as the system's own generator can tell.
+    ///
+    /// # Errors
+    /// The system has none to give.
+    pub fn entropy() -> std::io::Result<u64> {
+        if let Some(world) = crate::world::current() {
+            return Ok(world.entropy());
+        }
+        getrandom::u64().map_err(|e| std::io::Error::other(e.to_string()))
+    }
+
     /// A generator. Not for secrets.
     pub struct Random(Pcg32);
 
--- a/crates/seam/src/net.rs
+++ b/crates/seam/src/net.rs
@@ -1,6 +1,6 @@
-//! TCP: the system's, or that of a [`World`](crate::world::World).
+//! TCP and UDP: the system's, or that of a [`World`](crate::world::World).
 
-use crate::world::{self, Listener, Socket};
+use crate::world::{self, Datagrams, Listener, Socket};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
@@ -133,6 +133,87 @@
     }
 }
 
+impl TcpStream {
+    /// Opens a connection that leaves from that address of this machine.
+    ///
+    /// # Errors
+    /// It can't be opened: the system's error.
+    pub async fn connect_from(from: std::net::IpAddr, to: SocketAddr) -> io::Result<Self> {
+        Ok(TcpStream(match world::current() {
+            None => {
+                let socket = match from {
+                    std::net::IpAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+                    std::net::IpAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+                };
+                socket.bind(SocketAddr::new(from, 0))?;
+                Stands::System(socket.connect(to).await?)
+            }
+            Some(world) => Stands::World(world.dial(to).await?),
+        }))
+    }
+}
+
+/// A socket for datagrams.
+pub struct UdpSocket(Carries);
+
+enum Carries {
+    System(tokio::net::UdpSocket),
+    World(Box<dyn Datagrams>),
+}
+
+impl UdpSocket {
+    /// Opens one at an address; at a free port if that is 0.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn bind(at: SocketAddr) -> io::Result<Self> {
+        Ok(UdpSocket(match world::current() {
+            None => Carries::System(tokio::net::UdpSocket::bind(at).await?),
+            Some(world) => Carries::World(world.datagrams(at)?),
+        }))
+    }
+
+    /// Where it receives.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        match &self.0 {
+            Carries::System(socket) => socket.local_addr(),
+            Carries::World(socket) => Ok(socket.address()),
+        }
+    }
+
+    /// The next datagram: how many of its bytes there was room for, and where it comes from. Dropped while it waits, it
+    /// loses none.
+    ///
+    /// # Errors
+    /// The system's; also of an earlier send that nobody was there for.
+    pub async fn receive(&self, to: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        match &self.0 {
+            Carries::System(socket) => socket.recv_from(to).await,
+            Carries::World(socket) => {
+                let most = to.len();
+                let (bytes, from) = std::future::poll_fn(|cx| socket.poll_receive(cx, most)).await?;
+                let count = bytes.len().min(most);
+                to[..count].copy_from_slice(&bytes[..count]);
+                Ok((count, from))
+            }
+        }
+    }
+
+    /// Hands one to the system, or drops it where that has no room: a datagram may be lost at any place, also here.
+    ///
+    /// # Errors
+    /// There is no room, no way there, or nobody was there the last time.
+    pub fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        match &self.0 {
+            Carries::System(socket) => socket.try_send_to(bytes, to).map(drop),
+            Carries::World(socket) => socket.send(bytes, to),
+        }
+    }
+}
+
 /// A listener.
 pub struct TcpListener(Listens);
 
--- a/crates/seam/src/world.rs
+++ b/crates/seam/src/world.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -45,6 +46,22 @@
     fn address(&self) -> SocketAddr;
 }
 
+/// A datagram's bytes and where they come from.
+pub type Datagram = (Vec<u8>, SocketAddr);
+
+/// A socket for datagrams of that world.
+pub trait Datagrams {
+    /// The next datagram, at most `most` bytes of it.
+    fn poll_receive(&self, cx: &mut Context<'_>, most: usize) -> Poll<io::Result<Datagram>>;
+    /// Sends one, which may never get there.
+    ///
+    /// # Errors
+    /// There is no way there.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()>;
+    /// Where it receives.
+    fn address(&self) -> SocketAddr;
+}
+
 /// A dial under way.
 pub type Dial = Pin<Box<dyn Future<Output = io::Result<Box<dyn Socket>>>>>;
 
@@ -59,6 +76,20 @@
     /// # Errors
     /// Somebody does already, or there is no descriptor left.
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
+    /// Opens a socket for datagrams.
+    ///
+    /// # Errors
+    /// Somebody has that address, or there is no descriptor left.
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>>;
+    /// What a file of this machine holds; `None` if it is not there.
+    fn file(&self, path: &Path) -> Option<Vec<u8>>;
+    /// Keeps a file of this machine.
+    ///
+    /// # Errors
+    /// The disk is at fault.
+    fn keep(&self, path: &Path, bytes: &[u8]) -> io::Result<()>;
+    /// A number that differs from process to process.
+    fn entropy(&self) -> u64;
     /// A task has been started.
     fn started(&self);
     /// A task has ended, or was dropped.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bell;
 pub mod dice;
 pub mod faults;
+pub mod fleet;
 pub mod ledger;
 pub mod net;
 pub mod parties;
--- a/crates/simulation/src/net.rs
+++ b/crates/simulation/src/net.rs
@@ -4,6 +4,10 @@
 //! dropped with bytes unread resets its peer, as Linux does; so does a process that dies. Everything that moves is an
 //! event with a time, taken in the order of times, then of making.
 
+mod datagrams;
+
+pub use datagrams::Way;
+
 use crate::dice::Dice;
 use crate::trace::Trace;
 use sillward_seam::time::{Instant, sleep_until};
@@ -12,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -55,6 +60,10 @@
     pub tasks: Rc<Cell<usize>>,
     /// New connections to it are cut after some bytes: so often in a thousand, until then.
     pub cuts: Option<(u64, Duration)>,
+    /// Its files. They outlast its processes.
+    pub files: BTreeMap<PathBuf, Vec<u8>>,
+    /// Nothing can be kept on its disk.
+    pub disk_fails: bool,
 }
 
 #[derive(Default)]
@@ -110,6 +119,7 @@
     Reset { conn: u64, end: usize },
     Dial { conn: u64 },
     Dialled { conn: u64, refused: bool },
+    Datagram { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
 }
 
 struct Inner {
@@ -120,6 +130,7 @@
     made: u64,
     dice: Dice,
     slow: f64,
+    post: datagrams::Post,
     /// What the driver sleeps for.
     due: Option<Duration>,
 }
@@ -149,6 +160,7 @@
             made: 0,
             dice: Dice::of(seed, "net", 0),
             slow: 1.0,
+            post: datagrams::Post::new(seed),
             due: None,
         };
         Net {
@@ -187,6 +199,8 @@
             open: 0,
             tasks: Rc::default(),
             cuts: None,
+            files: BTreeMap::new(),
+            disk_fails: false,
         });
         Host(inner.machines.len() - 1)
     }
@@ -390,6 +404,20 @@
         of(conn.hosts[0]).max(of(conn.hosts[1]))
     }
 
+    /// Until when what moves on a connection does not pass, as its way alone is cut.
+    fn cut_one_way(&self, event: &Event, conn: &Conn, now: Duration) -> Option<Duration> {
+        let [dialler, listener] = conn.hosts;
+        let (from, to) = match event {
+            Event::Bytes { end, .. } | Event::End { end, .. } | Event::Reset { end, .. } => {
+                (conn.hosts[1 - end], conn.hosts[*end])
+            }
+            Event::Dialled { .. } => (listener, dialler),
+            Event::Dial { .. } => (dialler, self.listening.get(&conn.to).map_or(dialler, |l| l.host)),
+            Event::Datagram { .. } => return None,
+        };
+        self.post.cut(from, to, now)
+    }
+
     fn name(&self, host: Host) -> &str {
         &self.machines[host.0].name
     }
@@ -417,16 +445,21 @@
         now: Duration,
         trace: &Trace,
     ) -> Option<(oneshot::Sender<io::Result<()>>, io::Result<()>)> {
+        if let Event::Datagram { to, from, bytes } = event {
+            self.arrive(to, from, bytes, now, trace);
+            return None;
+        }
         let id = match &event {
             Event::Bytes { conn, .. }
             | Event::End { conn, .. }
             | Event::Reset { conn, .. }
             | Event::Dial { conn }
             | Event::Dialled { conn, .. } => *conn,
+            Event::Datagram { .. } => return None,
         };
         let conn = self.conns.get(&id)?;
         // What a cut swallows is sent again once it is over; what is lost for good is never sent again.
-        if let Some(over) = self.cut(conn, now) {
+        if let Some(over) = self.cut(conn, now).max(self.cut_one_way(&event, conn, now)) {
             if over < Duration::MAX {
                 self.push(over + RESEND, event);
             }
@@ -468,6 +501,7 @@
                 trace.step(now, self.name(host), format_args!("c{id} is reset"));
                 self.forget(id);
             }
+            Event::Datagram { .. } => {}
             Event::Dial { .. } => self.knock(id, now, trace),
             Event::Dialled { refused, .. } => {
                 let conn = self.conns.get_mut(&id)?;
@@ -890,6 +924,28 @@
         Ok(Box::new(self.net.listen(self.host, at, 128)?))
     }
 
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn world::Datagrams>> {
+        Ok(Box::new(self.net.datagrams(self.host, at)?))
+    }
+
+    fn file(&self, path: &Path) -> Option<Vec<u8>> {
+        self.net.with(self.host, |machine| machine.files.get(path).cloned())
+    }
+
+    fn keep(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        self.net.with(self.host, |machine| {
+            if machine.disk_fails {
+                return Err(ErrorKind::StorageFull.into());
+            }
+            machine.files.insert(path.to_owned(), bytes.to_vec());
+            Ok(())
+        })
+    }
+
+    fn entropy(&self) -> u64 {
+        self.net.inner.borrow_mut().post.number()
+    }
+
     fn started(&self) {
         self.tasks.set(self.tasks.get() + 1);
     }
--- a/crates/simulation/src/parties/nodes.rs
+++ b/crates/simulation/src/parties/nodes.rs
@@ -61,7 +61,7 @@
     ledger: Rc<Ledger>,
     script: Rc<Script>,
     places: Vec<Place>,
-    plant: Option<Plant>,
+    plant: Option<(Plant, bool)>,
     etcd: Option<SocketAddr>,
 }
 
@@ -76,7 +76,7 @@
         net: &Net,
         ledger: &Rc<Ledger>,
         script: &Rc<Script>,
-        plant: Option<Plant>,
+        plant: Option<(Plant, bool)>,
         etcd: Option<SocketAddr>,
     ) -> Rc<Self> {
         let places = script.nodes.iter().map(|plan| Place {
--- a/crates/simulation/src/parties/roster.rs
+++ b/crates/simulation/src/parties/roster.rs
@@ -80,13 +80,13 @@
     news: Bell,
     /// Until when each node's agents are silent.
     silent: RefCell<BTreeMap<usize, Duration>>,
-    /// Planted: one news of a drain in a thousand is not taken in.
-    swallows: Option<RefCell<Dice>>,
+    /// Planted: so many news of a drain in a thousand are not taken in.
+    swallows: Option<(RefCell<Dice>, u64)>,
 }
 
 impl Roster {
     /// So far behind what is true.
-    pub fn new(net: &Net, ledger: &Rc<Ledger>, lag: Duration, swallows: Option<Dice>) -> Rc<Self> {
+    pub fn new(net: &Net, ledger: &Rc<Ledger>, lag: Duration, swallows: Option<(Dice, u64)>) -> Rc<Self> {
         Rc::new(Roster {
             net: net.clone(),
             ledger: ledger.clone(),
@@ -94,7 +94,7 @@
             lag: Cell::new(lag),
             news: Bell::default(),
             silent: RefCell::default(),
-            swallows: swallows.map(RefCell::new),
+            swallows: swallows.map(|(dice, permille)| (RefCell::new(dice), permille)),
         })
     }
 
@@ -216,7 +216,7 @@
 
     /// A line as the node reads it: with the plant, one that it does not take in.
     fn taken_in<'a>(&self, change: &'a Change) -> &'a str {
-        let swallowed = |dice: &RefCell<Dice>| dice.borrow_mut().permille(1);
+        let swallowed = |(dice, permille): &(RefCell<Dice>, u64)| dice.borrow_mut().permille(*permille);
         let drains = change.state != State::InService;
         if drains && self.swallows.as_ref().is_some_and(swallowed) {
             return r#"{"name":"nobody"}"#;
--- a/crates/simulation/src/plants.rs
+++ b/crates/simulation/src/plants.rs
@@ -49,8 +49,15 @@
     }
 }
 
-/// What stands between a node and its backends for a plant; nothing for those that are planted elsewhere.
-pub fn planted(plant: Plant, script: &Script, node: usize, net: &Net, reloads: &Rc<Reloads>) -> Option<Wrap> {
+/// What stands between a node and its backends for a plant; nothing for those that are planted elsewhere. `often` makes the
+/// rare ones common, which shows in few nights that their checkers see.
+pub fn planted(
+    (plant, often): (Plant, bool),
+    script: &Script,
+    node: usize,
+    net: &Net,
+    reloads: &Rc<Reloads>,
+) -> Option<Wrap> {
     if matches!(plant, Plant::AnswerTwice | Plant::LateBytes | Plant::MissedDrain) {
         return None;
     }
@@ -66,13 +73,14 @@
                 }
             });
         }
-        Rc::new(Planted { inner, plant, dice, net, reloads, waiting: Cell::new(0) })
+        Rc::new(Planted { inner, plant, often, dice, net, reloads, waiting: Cell::new(0) })
     }))
 }
 
 struct Planted {
     inner: Rc<dyn Backends>,
     plant: Plant,
+    often: bool,
     dice: RefCell<Dice>,
     net: Net,
     reloads: Rc<Reloads>,
@@ -98,8 +106,7 @@
             let wrong = self.plant == Plant::DoubleCorrect
                 && unsafe_
                 && ended.outcome == Outcome::Reset
-                && self.waiting.get() > 0
-                && self.reloads.under_way(self.net.now());
+                && (self.often || self.waiting.get() > 0 && self.reloads.under_way(self.net.now()));
             if wrong {
                 ended.outcome = Outcome::ConnectFailed;
                 call.unclaim();
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Default)]
 pub struct Options {
     pub plant: Option<Plant>,
+    /// Rare plants strike often.
+    pub often: bool,
     /// Whether the lines of the trace are kept.
     pub lines: bool,
     /// Steps so far, for who watches from another thread.
@@ -93,7 +95,7 @@
             }
         });
     }
-    let night = night(&net, &script, &ledger, options.plant);
+    let night = night(&net, &script, &ledger, options.plant.map(|plant| (plant, options.often)));
     tokio::select! {
         biased;
         () = ledger.broken.notified() => {}
@@ -115,8 +117,13 @@
     }
 }
 
-async fn night(net: &Net, script: &Rc<Script>, ledger: &Rc<Ledger>, plant: Option<Plant>) {
-    let swallows = (plant == Some(Plant::MissedDrain)).then(|| Dice::of(script.seed, "plant", 0));
+async fn night(net: &Net, script: &Rc<Script>, ledger: &Rc<Ledger>, plant: Option<(Plant, bool)>) {
+    let swallows = match plant {
+        Some((Plant::MissedDrain, often)) => {
+            Some((Dice::of(script.seed, "plant", 0), if often { 500 } else { 1 }))
+        }
+        _ => None,
+    };
     let roster = Roster::new(net, ledger, Duration::from_millis(script.lag_ms), swallows);
     let etcd_at = ([127, 2, 0, 1], 2379).into();
     let etcd = script.etcd.then(|| Etcd::start(net, ledger, etcd_at));
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,14 +2,18 @@
 //! This file reads arguments, configuration and signals; `crates/assembly` puts the node together.
 #![forbid(unsafe_code)]
 
+#[path = "ctl.rs"]
+mod ctl;
+
 use clap::{Parser, Subcommand};
 use hillpick::settings::Site;
-use sillward_assembly::{Controls, thrift_connections};
+use sillward_assembly::{Controls, fit};
 use sillward_config::Config;
 use sillward_log::log;
 use sillward_operator::Operator;
 use sillward_seam::signal::{Signal, SignalKind, signal};
 use sillward_seam::task::{block_on, spawn_local};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::sync::{mpsc, watch};
@@ -35,12 +39,22 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
+    /// Asks a node that runs
+    Ctl {
+        /// Its address for operators: `admin` of the configuration or of the operator file
+        #[arg(long, value_name = "ADDRESS")]
+        admin: SocketAddr,
+        #[command(subcommand)]
+        ask: ctl::Ask,
+    },
 }
 
-fn main() -> ExitCode {
+pub(crate) fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if let Some(Command::Check { operator }) = arguments.command {
-        return check(operator.as_deref());
+    match arguments.command {
+        Some(Command::Check { operator }) => return check(operator.as_deref()),
+        Some(Command::Ctl { admin, ask }) => return tell(admin, &ask),
+        None => {}
     }
     let ended = block_on(run(arguments.operator.as_deref()));
     let ended = ended.map_err(|e| format!("cannot start: {e}")).and_then(|ended| ended);
@@ -62,10 +76,24 @@
     })
 }
 
+fn tell(admin: SocketAddr, ask: &ctl::Ask) -> ExitCode {
+    let answered = block_on(ctl::ask(admin, ask)).map_err(|e| e.to_string()).and_then(|answered| answered);
+    match answered {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(what) => {
+            eprintln!("{what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn check(operator: Option<&Path>) -> ExitCode {
     let config = Config::from_env();
     let operator = read_operator(operator, config.as_ref().ok().map(|config| &config.site));
-    let fit = config.as_ref().ok().zip(operator.as_ref().ok()).map(|(c, o)| thrift_connections(c, o));
+    let fit = config.as_ref().ok().zip(operator.as_ref().ok()).map(|(c, o)| fit(c, o));
     let faults: Vec<String> =
         [config.err(), operator.err(), fit.and_then(Result::err)].into_iter().flatten().collect();
     for fault in &faults {
--- a/tests/seam.rs
+++ b/tests/seam.rs
@@ -31,14 +31,15 @@
     "RandomState",
     "thread_rng",
 ];
-/// Where one of them has its reason: the module has its own seeded generator and no outside to reach; files and
+/// Where one of them has its reason: the modules have their own seeded generators and no outside to reach; files and
 /// variables are read before a node is put together, and whoever starts it says how they are read again; the log's
 /// writer is a thread on purpose, and writes nothing where a world stands beneath. A `watch` wakes several tasks in an
 /// order drawn by lot: these have one that waits.
-const ALLOWED: [(&str, &str); 7] = [
+const ALLOWED: [(&str, &str); 8] = [
     ("assembly", "watch::channel"),
     ("src", "watch::channel"),
     ("hillpick", "rand_pcg"),
+    ("peers", "rand_pcg"),
     ("config", "std::env"),
     ("config", "std::fs"),
     ("src", "std::fs"),
@@ -148,6 +149,8 @@
     assert_eq!(reach("membership"), set(&["hillpick"]));
     assert_eq!(reach("core"), set(&["hillpick", "log", "metrics", "seam"]));
     assert_eq!((reach("lifecycle"), reach("handover")), (set(&[]), set(&[])));
+    assert_eq!(reach("peers"), set(&[]));
+    assert_eq!(reach("links"), set(&["log", "peers", "seam"]));
     assert!(!reach("pool").contains("http1") && !reach("pool").contains("thrift"));
     assert!(!reach("thrift").contains("http1") && !reach("http1").contains("thrift"));
     assert!(!reach("roster").contains("pool"));
