The ground: processes of the program with faults between them; rig fleet members

Need: no test started more than one node with anything between them that could break. Every way between two processes goes through a relay that can drop, delay, double, spoil or cut it, one way or both; processes are killed, paused, ended, and restarted with their folder kept, lost, old or torn. Checks read relays and what was done before what nodes say. Stand-ins have a package of their own, so that ground and rig both stand on it.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,12 +1,7 @@
-//! What stands round a node under test: stand-in backends, discovery and clients, faults and load. Blocking, on
-//! threads, and on loopback only. Checks read what these peers saw, never what the node says of itself.
+//! Scenarios round a node under test: faults and load over the stand-ins, each with a verdict. On loopback only.
 #![forbid(unsafe_code)]
 
-pub mod etcd;
-pub mod ledger;
 pub mod pages;
-pub mod peers;
-pub mod random;
-pub mod relay;
 pub mod scenario;
-pub mod tally;
+
+pub use standins::{etcd, ledger, peers, random, relay, tally};
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand, ValueEnum};
-use rig::scenario::{self, demo, etcd, few, load, night, pages, plants, sizes, thrift};
+use rig::scenario::{self, demo, etcd, few, fleet, load, night, pages, plants, sizes, thrift};
 use rig::tally::{BINARY, Caller, End, origin};
 use sillward_thrift::wire::Encoding;
 use std::net::SocketAddr;
@@ -83,6 +83,8 @@
         #[arg(long, default_value_t = 48_000)]
         calls: usize,
     },
+    /// Processes of the shipped program on the ground, with faults between them and to them
+    Fleet(fleet::Options),
     /// Whole nights on a virtual clock: faults from seeds, the four rules checked at every step
     Night(night::Options),
     /// Runs every command of the README and of the pages for operators, as it stands
@@ -218,6 +220,7 @@
             | What::Thrift { .. }
             | What::Etcd { .. }
             | What::Few { .. }
+            | What::Fleet(_)
             | What::Load { .. }
             | What::Pages { .. }
             | What::Plants { .. }
@@ -260,6 +263,7 @@
             };
             few::run(&options)
         }
+        What::Fleet(options) => fleet::run(&options),
         What::Load { calls } => load::run(calls),
         What::Night(options) => night::run(&options),
         What::Pages { pages, plant } => {
@@ -313,10 +317,13 @@
 fn build() -> bool {
     let Some(cargo) = std::env::var_os("CARGO") else { return true };
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--bin", "sillward"]).current_dir(root);
-    if !cfg!(debug_assertions) {
-        command.arg("--release");
-    }
-    command.status().is_ok_and(|status| status.success())
+    // The program as it ships, and beside it the one with faults within, for the ground.
+    [&["--bin", "sillward"][..], &["--bin", "sillward-faults", "--features", "faults"]].iter().all(|which| {
+        let mut command = Command::new(&cargo);
+        command.args(["build", "--quiet", "-p", "sillward"]).args(*which).current_dir(&root);
+        if !cfg!(debug_assertions) {
+            command.arg("--release");
+        }
+        command.status().is_ok_and(|status| status.success())
+    })
 }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -3,6 +3,7 @@
 pub mod demo;
 pub mod etcd;
 pub mod few;
+pub mod fleet;
 pub mod load;
 pub mod night;
 pub mod pages;
@@ -20,7 +21,7 @@
 }
 
 /// All scenarios with a verdict.
-pub const ALL: [Listed; 5] = [
+pub const ALL: [Listed; 6] = [
     Listed {
         name: "thrift",
         what: "callers of both encodings against tally boxes that are killed and restarted",
@@ -36,6 +37,11 @@
         what: "a dozen callers at one or two healthy boxes: nothing refused, nothing sent twice",
         plants: &["turn-away", "late"],
     },
+    Listed {
+        name: "fleet",
+        what: "processes of the program with faults between them and to them: members",
+        plants: &["no-incarnation", "one-way-blind", "never-forget"],
+    },
     Listed {
         name: "night",
         what: "whole nights on a virtual clock, several troubles at once, from a range of seeds",
--- /dev/null
+++ b/crates/rig/src/scenario/fleet.rs
@@ -0,0 +1,105 @@
+//! Fleets of processes on the ground.
+
+use ground::fleet::{Options as Ground, beside};
+use ground::members::{self, Play};
+use ground::script::{KINDS, Places, read};
+use std::path::PathBuf;
+
+/// See [`Ground`].
+#[derive(clap::Args)]
+pub struct Options {
+    /// What is played: members
+    #[arg(value_parser = ["members"])]
+    scenario: String,
+    #[arg(long, default_value_t = 12)]
+    nodes: usize,
+    /// Several seeds are played one after the other
+    #[arg(long, value_delimiter = ',', default_value = "1")]
+    seed: Vec<u64>,
+    /// Zones; the first half of them is a region
+    #[arg(long, default_value_t = 3)]
+    zones: usize,
+    /// A script of faults, a JSON object a line, in place of the seed's own
+    #[arg(long, value_name = "FILE")]
+    faults: Option<PathBuf>,
+    /// Kinds of faults that the seed draws from
+    #[arg(long, value_delimiter = ',', default_values = KINDS)]
+    kinds: Vec<String>,
+    /// How long the faults last
+    #[arg(long, default_value_t = 36)]
+    seconds: u64,
+    /// A mistake in every process that the checks must find
+    #[arg(long, value_parser = ["no-incarnation", "one-way-blind", "never-forget"])]
+    plant: Option<String>,
+    /// Clocks that run at another rate: NODE:RATE
+    #[arg(long, value_delimiter = ',', value_parser = clock)]
+    clocks: Vec<(usize, f64)>,
+    /// Calls a second at each node
+    #[arg(long, default_value_t = 10)]
+    rate: u32,
+    /// Where the history goes: JSON lines with true times
+    #[arg(long, value_name = "FILE")]
+    history: Option<PathBuf>,
+    /// Where the script that was played goes
+    #[arg(long, value_name = "FILE")]
+    script: Option<PathBuf>,
+}
+
+fn clock(text: &str) -> Result<(usize, f64), String> {
+    let read = text.split_once(':').and_then(|(node, rate)| Some((node.parse().ok()?, rate.parse().ok()?)));
+    read.ok_or_else(|| format!("{text:?} is not NODE:RATE"))
+}
+
+/// Plays it, prints its figures, and returns the exit code.
+pub fn run(options: &Options) -> u8 {
+    let mut worst = 0;
+    for seed in &options.seed {
+        worst = worst.max(one(options, *seed).unwrap_or_else(|what| {
+            println!("FAILED {} seed={seed} no verdict: {what}", options.scenario);
+            1
+        }));
+    }
+    worst
+}
+
+fn one(options: &Options, seed: u64) -> Result<u8, String> {
+    if options.nodes < 2 || options.zones == 0 || options.zones > options.nodes {
+        return Err("a fleet has two nodes at least, and a zone for each of some".to_owned());
+    }
+    let places = Places { nodes: options.nodes, zones: options.zones };
+    if let Some(unknown) = options.kinds.iter().find(|kind| !KINDS.contains(&kind.as_str())) {
+        return Err(format!("{unknown:?} is none of {}", KINDS.join(", ")));
+    }
+    let faults = match &options.faults {
+        None => None,
+        Some(path) => {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            Some(read(&text, places).map_err(|e| format!("{}: {e}", path.display()))?)
+        }
+    };
+    let program = beside("sillward").ok_or("sillward is not built")?;
+    let ground = Ground {
+        places,
+        seed,
+        program,
+        faulty: beside("sillward-faults"),
+        plant: options.plant.clone(),
+        clocks: options.clocks.clone(),
+        rate: options.rate,
+        more: String::new(),
+        history: options.history.clone(),
+    };
+    let play = Play { options: ground, faults, kinds: options.kinds.clone(), seconds: options.seconds };
+    let verdict = members::play(&play)?;
+    if let Some(path) = &options.script {
+        std::fs::write(path, &verdict.script).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    for (name, value) in &verdict.figures {
+        super::figure(name, value);
+    }
+    if !verdict.breaches.is_empty() {
+        print!("{}", verdict.script.lines().map(|line| format!("script {line}\n")).collect::<String>());
+    }
+    let more = format!("nodes={} faults={}", options.nodes, verdict.script.lines().count());
+    Ok(super::last_line(&options.scenario, seed, &verdict.breaches, &more))
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,10 @@
+//! What stands round a node under test: stand-in backends, discovery and clients. Blocking, on threads, and on loopback
+//! only. Checks read what these peers saw, never what the node says of itself.
+#![forbid(unsafe_code)]
+
+pub mod etcd;
+pub mod ledger;
+pub mod peers;
+pub mod random;
+pub mod relay;
+pub mod tally;
--- a/crates/rig/src/peers.rs
+++ b/crates/standins/src/peers.rs
@@ -189,6 +189,11 @@
     pub fn call(&self) -> Watch {
         self.calls.recv_timeout(PATIENCE).expect("a call to discovery")
     }
+
+    /// The next call, if one comes in time.
+    pub fn try_call(&self, patience: Duration) -> Option<Watch> {
+        self.calls.recv_timeout(patience).ok()
+    }
 }
 
 impl Watch {
@@ -198,6 +203,15 @@
     pub fn line(&mut self, line: &str) {
         self.write(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
     }
+    /// Opens it and tells a list; false if the node has gone.
+    pub fn answer_list(&mut self, list: &str) -> bool {
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n",
+            list.len() + 1
+        );
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     pub fn write(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("the node listens to discovery");
     }
@@ -546,6 +560,17 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Client(BufReader::new(stream))
     }
+    /// A client of a node that may not be there.
+    pub fn try_connect(address: SocketAddr, patience: Duration) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, patience).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
+        Some(Client(BufReader::new(stream)))
+    }
+    /// Sends a call without a body to a node that may have gone; false if it has.
+    pub fn try_send(&mut self, start: &str, headers: &str) -> bool {
+        let head = format!("{start} HTTP/1.1\r\nHost: service.internal\r\n{headers}\r\n");
+        self.0.get_mut().write_all(head.as_bytes()).is_ok()
+    }
     pub fn send(&mut self, start: &str, headers: &str, body: &[u8]) {
         let length =
             if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
