A member speaks against a suspicion again when its word was lost; deaf nodes end nobody

Its word against the suspicion had been told on four times, which missed one of seven, and answers to that one's pings did not carry it. Now any old suspicion brings the word into the next frame, and who spoke here since a suspicion is asked once more before it is gone.

--- a/crates/ground/src/members.rs
+++ b/crates/ground/src/members.rs
@@ -315,6 +315,18 @@
             for by in (0..self.places.nodes)
                 .filter(|by| *by != node && self.sound(*by, from.saturating_sub(1_000_000), until))
             {
+                // One that has nobody left to hear can't know: it says that it is alone, and calls nobody gone.
+                let heard =
+                    (0..self.places.nodes).any(|o| o != by && o != node && self.sound(o, from, until));
+                if !heard {
+                    let said = self.said_at(by, until).map(|line| &line.fields);
+                    let alone = said.is_some_and(|said| said["standing"] == "alone");
+                    let gone = said.is_some_and(|said| said["members"][name(node)][0] == "gone");
+                    if !alone || gone {
+                        breaches.push(format!("n{by} heard nobody and says {said:?}"));
+                    }
+                    continue;
+                }
                 let knows = |line: &&Line| {
                     let member = &line.fields["members"][name(node)];
                     member.is_null()
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod envelope;
 pub mod guard;
 mod link;
-mod memory;
+pub mod memory;
 pub mod outbox;
 pub mod page;
 pub mod session;
--- a/crates/peers/src/machine.rs
+++ b/crates/peers/src/machine.rs
@@ -533,6 +533,9 @@
             self.figures.refuted += 1;
             self.health.worse(1);
             self.rumours.add(Subject::Member(self.me.name.clone()));
+        } else if claim.state == State::Suspected {
+            // Its word against that has not got to whoever says so: the next frame has it.
+            self.rumours.add(Subject::Member(self.me.name.clone()));
         }
     }
 
@@ -1137,15 +1140,29 @@
         if self.suspected.is_empty() || !self.settled || self.is_deaf(now) {
             return;
         }
-        let mut over = Vec::new();
+        let (mut over, mut again) = (Vec::new(), Vec::new());
         for name in &self.suspected {
             let Some(member) = self.members.get(name) else { continue };
             let Some(suspicion) = &member.suspicion else { continue };
             let confirmed = suspicion.by.len().saturating_sub(1);
-            if now.saturating_sub(suspicion.since) >= self.patience(confirmed) {
+            if now.saturating_sub(suspicion.since) < self.patience(confirmed) {
+                continue;
+            }
+            // It spoke here since, and only its word against the suspicion was lost. One that is dead says nothing more.
+            let settled = suspicion.since + self.health.usual_wait() * 2;
+            if member.heard.is_some_and(|heard| heard > settled) {
+                again.push(name.clone());
+            } else {
                 over.push(member.claim());
             }
         }
+        for name in again {
+            if let Some(suspicion) = self.members.get_mut(&name).and_then(|m| m.suspicion.as_mut()) {
+                suspicion.since = now;
+            }
+            self.soon.push_front(name);
+            self.soon.truncate(64);
+        }
         for claim in over {
             self.figures.called_gone += 1;
             self.take(&Claim { state: State::Gone, ..claim }, now, true);
