--- a/crates/ground/src/members.rs
+++ b/crates/ground/src/members.rs
@@ -68,7 +68,7 @@
     let played = run(&fleet, &faults);
     let used = fleet.end();
     let (memory, joined, agreed, rates) = played?;
-    let truth = Truth::read(&fleet.history.lines(), places, &faults);
+    let truth = Truth::read(&fleet.history.lines(), places, &faults, &fleet.options.jumps);
     let mut verdict = Verdict { script: script::text(&faults), ..Verdict::default() };
     if let Some(what) = joined.as_ref().err() {
         verdict.breaches.push(format!("after {} ms of calm they do not agree: {what}", AGREED_MS));
@@ -242,7 +242,7 @@
 }
 
 impl Truth {
-    fn read(lines: &[Line], places: Places, faults: &[Fault]) -> Self {
+    fn read(lines: &[Line], places: Places, faults: &[Fault], jumps: &[(usize, u64, u64)]) -> Self {
         let end_us = lines.last().map_or(0, |line| line.t_us);
         let begins_us = lines.iter().find(|line| line.what == "script-begins").map_or(0, |line| line.t_us);
         let (mut up, mut troubled) = (vec![Vec::new(); places.nodes], vec![Vec::new(); places.nodes]);
@@ -281,6 +281,13 @@
             };
             nodes.into_iter().for_each(|node| troubled[node].push((from.saturating_sub(500_000), to)));
         }
+        // A clock that jumps ahead is to its node as a pause, in each run of it.
+        for (node, _, at_ms) in jumps {
+            for line in lines.iter().filter(|line| line.node == Some(*node) && line.what == "started") {
+                let at = line.t_us + at_ms * 1000;
+                troubled[*node].push((at.saturating_sub(1_000_000), at + AFTERMATH_MS * 1000));
+            }
+        }
         Truth { lines: lines.to_vec(), places, up, troubled, begins_us, end_us }
     }
 
