--- a/crates/ground/src/fleet.rs
+++ b/crates/ground/src/fleet.rs
@@ -51,6 +51,9 @@
     pub history: Option<PathBuf>,
 }
 
+/// Files and what they hold.
+type Files = Vec<(PathBuf, Vec<u8>)>;
+
 /// A node's place; its process comes and goes.
 pub struct Place {
     /// The process, while there is one.
@@ -60,7 +63,7 @@
     run: AtomicU64,
     paused: AtomicBool,
     /// The folder as it was before the last start.
-    before: Mutex<Option<Vec<(PathBuf, Vec<u8>)>>>,
+    before: Mutex<Files>,
 }
 
 /// What a client was told.
@@ -238,7 +241,7 @@
         }
         let files = std::fs::read_dir(&place.folder).into_iter().flatten().flatten();
         let files = files.filter_map(|file| Some((file.path(), std::fs::read(file.path()).ok()?)));
-        *place.before.lock().expect("the folder") = Some(files.collect());
+        *place.before.lock().expect("the folder") = files.collect();
         let mut start = place.start.clone();
         if let (true, Some(faulty)) = (newer, &self.options.faulty) {
             start.program = faulty.clone();
@@ -279,7 +282,7 @@
             Folder::Lost => files().for_each(|file| drop(std::fs::remove_file(file))),
             Folder::Old => {
                 files().for_each(|file| drop(std::fs::remove_file(file)));
-                for (path, bytes) in place.before.lock().expect("the folder").iter().flatten() {
+                for (path, bytes) in place.before.lock().expect("the folder").iter() {
                     let _ = std::fs::write(path, bytes);
                 }
             }
@@ -464,6 +467,10 @@
                 client = None;
             }
             let took_us = begun.elapsed().as_micros() as u64;
+            if status != 200 {
+                let fields = json!({ "status": status, "took_us": took_us });
+                self.history.note_at(t_us, Some(node), "not-served", fields);
+            }
             self.asked[node].lock().expect("calls").push(Asked { t_us, took_us, status });
         }
     }
--- a/crates/ground/src/members.rs
+++ b/crates/ground/src/members.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Fleet, Options};
 use crate::history::Line;
 use crate::script::{self, Fault, Places, What};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -158,6 +158,8 @@
     while !over.load(std::sync::atomic::Ordering::SeqCst) {
         for (node, seen) in seen.iter_mut().enumerate() {
             let sent = fleet.relays.sent(node);
+            let fields = json!({ "frames": sent.frames, "bytes": sent.bytes, "long": sent.long });
+            fleet.history.note(Some(node), "sent-so-far", fields);
             seen.push(sent.bytes + sent.long);
         }
         sleep(Duration::from_secs(1));
@@ -245,22 +247,23 @@
     fn read(lines: &[Line], places: Places, faults: &[Fault], jumps: &[(usize, u64, u64)]) -> Self {
         let end_us = lines.last().map_or(0, |line| line.t_us);
         let begins_us = lines.iter().find(|line| line.what == "script-begins").map_or(0, |line| line.t_us);
-        let (mut up, mut troubled) = (vec![Vec::new(); places.nodes], vec![Vec::new(); places.nodes]);
-        for node in 0..places.nodes {
+        let mut up: Vec<Vec<(u64, u64)>> = vec![Vec::new(); places.nodes];
+        let mut troubled = up.clone();
+        for (node, up) in up.iter_mut().enumerate() {
             let mut since: Option<u64> = None;
             for line in lines.iter().filter(|line| line.node == Some(node)) {
                 match line.what {
                     "started" | "goes-on" => since = since.or(Some(line.t_us)),
                     "killed" | "told-to-end" | "paused" => {
                         if let Some(from) = since.take() {
-                            up[node].push((from, line.t_us));
+                            up.push((from, line.t_us));
                         }
                     }
                     _ => {}
                 }
             }
             if let Some(from) = since {
-                up[node].push((from, end_us));
+                up.push((from, end_us));
             }
         }
         for fault in faults {
--- a/crates/ground/src/relays.rs
+++ b/crates/ground/src/relays.rs
@@ -56,6 +56,9 @@
     pub long: u64,
 }
 
+/// A datagram that is held back: until when, its number, whom it is for, and its bytes.
+type Held = (Instant, u64, usize, Vec<u8>);
+
 struct State {
     /// By who sends and who is sent to.
     ways: Vec<Vec<Way>>,
@@ -67,7 +70,7 @@
     random: Random,
     lives: BTreeMap<(String, Life), SeenLife>,
     unopened: u64,
-    waiting: BinaryHeap<Reverse<(Instant, u64, usize, Vec<u8>)>>,
+    waiting: BinaryHeap<Reverse<Held>>,
     made: u64,
 }
 
--- a/crates/ground/src/script.rs
+++ b/crates/ground/src/script.rs
@@ -82,7 +82,7 @@
 
     /// A node's region.
     pub fn region(self, node: usize) -> usize {
-        usize::from(self.zone(node) * 2 >= self.zones + 1)
+        usize::from(self.zone(node) * 2 > self.zones)
     }
 
     /// The nodes that are meant.
--- a/crates/links/src/envelope.rs
+++ b/crates/links/src/envelope.rs
@@ -1,7 +1,7 @@
 //! A frame's envelope: the fleet's name, who sends it in which life, to which life, a number, and a keyed hash of it all.
 //! No I/O.
 //!
-//! Wire: the version (1 byte), the hash (16 bytes), then the protobuf message [`Words`]. The hash is BLAKE3's keyed one under
+//! Wire: the version (1 byte), the hash (16 bytes), then the protobuf message `Words`. The hash is BLAKE3's keyed one under
 //! a key derived from the fleet's, cut to 16 bytes: who does not have the key guesses one in 2^128.
 
 use prost::Message;
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -113,7 +113,7 @@
             if !ours && (links.len() < crate::MOST_LINKS || links.contains_key(&name)) {
                 if let Some(old) = links.insert(name.clone(), link.clone()) {
                     // What waited for the other goes by this one.
-                    while let Some(posted) = { old.outbox.borrow_mut().next() } {
+                    while let Some(posted) = { old.outbox.borrow_mut().take() } {
                         link.post(posted);
                     }
                 }
@@ -156,7 +156,7 @@
         };
         let writing = async {
             loop {
-                let next = link.outbox.borrow_mut().next();
+                let next = link.outbox.borrow_mut().take();
                 let Some(posted) = next else {
                     link.posted.notified().await;
                     continue;
--- a/crates/links/src/outbox.rs
+++ b/crates/links/src/outbox.rs
@@ -54,7 +54,7 @@
     }
 
     /// The next that goes out.
-    pub fn next(&mut self) -> Option<Posted> {
+    pub fn take(&mut self) -> Option<Posted> {
         let posted = self.waiting.pop_front()?;
         self.bytes -= posted.bytes.len();
         Some(posted)
--- a/crates/links/tests/wire.rs
+++ b/crates/links/tests/wire.rs
@@ -206,14 +206,14 @@
         outbox.post(post(2, version, 1_000));
     }
     assert_eq!(outbox.superseded, 398);
-    assert_eq!(outbox.next(), Some(post(1, 199, 1_000)));
-    assert_eq!(outbox.next(), Some(post(2, 199, 1_000)));
+    assert_eq!(outbox.take(), Some(post(1, 199, 1_000)));
+    assert_eq!(outbox.take(), Some(post(2, 199, 1_000)));
     assert!(outbox.is_empty());
     for slot in 0..1_000 {
         outbox.post(post(slot, 0, 1_000));
     }
     let mut bytes = 0;
-    while let Some(posted) = outbox.next() {
+    while let Some(posted) = outbox.take() {
         bytes += posted.bytes.len();
     }
     assert!(bytes <= outbox::MOST && bytes > outbox::MOST - 2_000, "{bytes}");
--- a/crates/peers/src/machine.rs
+++ b/crates/peers/src/machine.rs
@@ -1063,7 +1063,7 @@
     }
 
     fn ask_helpers(&mut self, now: Duration) {
-        for (number, target) in self.probes.to_help(now) {
+        for (number, target) in self.probes.due_for_help(now) {
             if self.planted(Plant::OneWayBlind) {
                 continue;
             }
--- a/crates/peers/src/probes.rs
+++ b/crates/peers/src/probes.rs
@@ -89,7 +89,7 @@
     }
 
     /// Probes for which it is time to ask helpers. Each is given once.
-    pub fn to_help(&mut self, now: Duration) -> Vec<(u64, Name)> {
+    pub fn due_for_help(&mut self, now: Duration) -> Vec<(u64, Name)> {
         let due = self.probes.iter_mut().filter(|(_, probe)| probe.direct_until <= now && probe.ends > now);
         due.map(|(number, probe)| {
             probe.direct_until = Duration::MAX;
