The fleet keeps to a share of the node's descriptors and memory, told at check

Need: its sockets and links stood beside the node's limits. It takes an eighth of the client connections, and its memory at the worst from what bodies may have. Where processes replace each other it is turned down in words: two can't have one port.

--- a/crates/assembly/src/fleet.rs
+++ b/crates/assembly/src/fleet.rs
@@ -15,6 +15,28 @@
 /// What this build speaks to other members.
 const SPEAKS: &[&str] = &["fleet1"];
 
+/// A member's sockets beside its links: one for datagrams, one that listens.
+const OWN_SOCKETS: usize = 2;
+/// What a link may hold: what waits for it, and what is being read.
+const LINK_BYTES: usize = 192 * 1024;
+/// What a member that is known takes at most, with its values and rumours.
+const MEMBER_BYTES: usize = 2048;
+
+/// The descriptors that the fleet takes from those for clients: an eighth, within bounds.
+pub fn sockets(config: &Config) -> usize {
+    (config.client_connections / 8).clamp(OWN_SOCKETS + 4, OWN_SOCKETS + 256)
+}
+
+/// Links at once; as many again may have been taken.
+fn links(config: &Config) -> usize {
+    (sockets(config) - OWN_SOCKETS) / 2
+}
+
+/// The memory that the fleet takes at the worst, from what bodies may have.
+pub fn bytes(config: &Config, fleet: &FleetTerms) -> usize {
+    links(config) * 2 * LINK_BYTES + fleet.peers.most * MEMBER_BYTES
+}
+
 /// What the fleet's member is to be: the operator file's words with the key that they name.
 ///
 /// # Errors
@@ -54,6 +76,7 @@
         seeds: fleet.seeds.clone(),
         about,
         frame_bytes: fleet.frame_bytes,
+        links: links(config),
         folder: fleet.folder.clone(),
         peers: planted(fleet.peers.clone()),
     })
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -66,13 +66,29 @@
     }
 }
 
+/// How many of the node's client connections the fleet takes.
+pub fn fleet_connections(config: &Config, operator: &Operator) -> usize {
+    operator.fleet.as_ref().map_or(0, |_| fleet::sockets(config))
+}
+
 /// Whether operator file and configuration go together.
 ///
 /// # Errors
 /// All that does not, a line each, with the operator file's keys.
 pub fn fit(config: &Config, operator: &Operator) -> Result<(), String> {
     let fleet = operator.fleet.as_ref().map(|terms| fleet::terms(config, terms));
-    let faults = [thrift_connections(config, operator).err(), fleet.and_then(Result::err)];
+    let clients = thrift_connections(config, operator).and_then(|thrift| {
+        let (most, fleet) = (config.client_connections, fleet_connections(config, operator));
+        let room = most > thrift + fleet;
+        room.then_some(()).ok_or_else(|| {
+            format!("fleet: takes {fleet} connections and Thrift {thrift}, but the limits allow {most} clients in all")
+        })
+    });
+    // A process that takes another's place would find the fleet's port taken by it.
+    let replaced = operator.fleet.is_some() && config.listen_fd.is_some();
+    let replaced =
+        replaced.then(|| "fleet: not where processes replace each other (PROXY_LISTEN_FD)".to_owned());
+    let faults = [clients.err(), fleet.and_then(Result::err), replaced];
     let faults: Vec<String> = faults.into_iter().flatten().collect();
     if faults.is_empty() { Ok(()) } else { Err(faults.join("\n")) }
 }
@@ -100,7 +116,10 @@
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let settings = &config.site.settings;
-    let budget = Budget::new(config.body_bytes);
+    // Bodies keep half of their memory whatever else is on.
+    let fleet_bytes = operator.fleet.as_ref().map_or(0, |terms| fleet::bytes(&config, terms));
+    let fleet_connections = fleet_connections(&config, &operator);
+    let budget = Budget::new(config.body_bytes - fleet_bytes.min(config.body_bytes / 2));
     let sockets = Sockets::new(config.backend_connections);
     let (counters, live) = (Counters::new(), Live::new(config.site.clone()));
     counters.name(&config.site.class_names);
@@ -146,7 +165,7 @@
     let said = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {said}", config.name));
 
-    let clients = config.client_connections - thrift_connections;
+    let clients = config.client_connections - thrift_connections - fleet_connections;
     let door = Door::new(life.clone(), clients, fronts::longest(&live));
     let doors = fronts::Fronts {
         door,
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -35,8 +35,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
 
-/// Links at once, and connections that were taken.
-const MOST_LINKS: usize = 128;
 /// A dial, a greeting, or a write that takes longer is given up.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// A link that carries nothing for so long is closed.
@@ -67,6 +65,8 @@
     pub about: About,
     /// The most bytes of a frame with its envelope.
     pub frame_bytes: usize,
+    /// The most links at once, and as many connections that were taken.
+    pub links: usize,
     /// Where it remembers its last life.
     pub folder: Option<PathBuf>,
     /// Times and bounds of membership; how long a frame may be is filled in.
@@ -88,6 +88,7 @@
     /// The number of the last frame, in the life that it was of.
     number: Cell<(Life, u64)>,
     links: RefCell<BTreeMap<Name, Rc<Link>>>,
+    most_links: usize,
     hearers: RefCell<BTreeMap<u32, Hearer>>,
     /// Something may be due earlier than it was.
     sooner: Notify,
@@ -182,6 +183,7 @@
             peers: RefCell::new(peers),
             guard: RefCell::new(Guard::new(most, now)),
             links: RefCell::default(),
+            most_links: terms.links,
             hearers: RefCell::default(),
             sooner: Notify::new(),
             later: RefCell::default(),
@@ -226,7 +228,7 @@
                 }
                 Some(_) = taken.join_next() => {}
                 accepted = tcp.accept() => match accepted {
-                    Ok((stream, _)) if taken.len() < MOST_LINKS => taken.spawn_local(self.clone().accepted(stream)),
+                    Ok((stream, _)) if taken.len() < self.most_links => taken.spawn_local(self.clone().accepted(stream)),
                     Ok(_) => self.bad_links.set(self.bad_links.get() + 1),
                     Err(_) => reads_from = Some(Instant::now() + PAUSE), // out of descriptors
                 },
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -52,7 +52,7 @@
         if let Some(link) = self.links.borrow().get(to) {
             return link.post(posted);
         }
-        if self.links.borrow().len() >= crate::MOST_LINKS {
+        if self.links.borrow().len() >= self.most_links {
             return self.dropped_long.set(self.dropped_long.get() + 1);
         }
         let link = Link::new(true);
@@ -110,7 +110,7 @@
             let mut links = self.links.borrow_mut();
             // Of two that cross the one counts that the lesser name dialled; the other is read until it is idle.
             let ours = links.get(&name).is_some_and(|other| other.dialled && self.name < name);
-            if !ours && (links.len() < crate::MOST_LINKS || links.contains_key(&name)) {
+            if !ours && (links.len() < self.most_links || links.contains_key(&name)) {
                 if let Some(old) = links.insert(name.clone(), link.clone()) {
                     // What waited for the other goes by this one.
                     while let Some(posted) = { old.outbox.borrow_mut().take() } {
--- a/crates/links/src/outbox.rs
+++ b/crates/links/src/outbox.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 /// Bytes that may wait for one peer.
-pub const MOST: usize = 256 * 1024;
+pub const MOST: usize = 128 * 1024;
 
 /// A message: its topic, and what it supersedes within that.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -99,6 +99,7 @@
                 speaks: vec!["fleet1".to_owned()],
             },
             frame_bytes: self.size.frame_bytes,
+            links: 128,
             folder: Some("fleet".into()),
             peers: sillward_peers::Terms::default(),
         };
--- a/crates/simulation/src/parties/nodes.rs
+++ b/crates/simulation/src/parties/nodes.rs
@@ -178,7 +178,8 @@
         let started = self.config(node).and_then(|config| Ok((self.operator(node, &config)?, config)));
         if let Ok((operator, config)) = &started {
             let thrift = if operator.thrift.is_some() { config.client_connections / 2 } else { 0 };
-            place.room.set(config.client_connections - thrift);
+            let fleet = sillward_assembly::fleet_connections(config, operator);
+            place.room.set(config.client_connections - thrift - fleet);
         }
         let wrap = self.plant.and_then(|plant| planted(plant, &self.script, node, &self.net, &place.reloads));
         let (own, net) = (self.clone(), self.net.clone());
