A start without any seed left has its test; one place takes a descriptor in the simulation

Change: that test; the four like lines that take a descriptor for a dial, a listener and datagrams are one function now.

--- a/crates/peers/tests/fleets.rs
+++ b/crates/peers/tests/fleets.rs
@@ -424,6 +424,21 @@
     assert!((2..8).all(|i| known(i) == 6), "{:?}", (2..8).map(known).collect::<Vec<_>>());
 }
 
+/// Hard case 5: who lives asks the gone whether they are back, so one that starts is found although no seed is left to ask.
+#[test]
+fn one_that_starts_when_all_seeds_are_gone_is_found_by_the_others() {
+    let mut fleet = Fleet::new(6, 51);
+    fleet.until_agreed(SECOND * 10);
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.kill(5);
+    fleet.run(SECOND * 10);
+    assert_eq!((fleet.says(2, 0), fleet.says(2, 5)), (Some(State::Gone), Some(State::Gone)));
+    fleet.start(5);
+    let took = fleet.until_agreed(SECOND * 20);
+    println!("found after {took:?} without a seed");
+}
+
 #[test]
 fn seeds_that_name_nobody_or_the_node_itself_leave_it_asking() {
     let mut fleet = Fleet::new(1, 6);
--- a/crates/simulation/src/net.rs
+++ b/crates/simulation/src/net.rs
@@ -66,6 +66,17 @@
     pub disk_fails: bool,
 }
 
+impl Machine {
+    /// Takes a descriptor.
+    fn take_descriptor(&mut self) -> io::Result<()> {
+        if self.open >= self.descriptors {
+            return Err(io::Error::from_raw_os_error(EMFILE));
+        }
+        self.open += 1;
+        Ok(())
+    }
+}
+
 #[derive(Default)]
 struct End {
     unread: VecDeque<u8>,
@@ -327,11 +338,7 @@
         let (dialling, up) = oneshot::channel();
         let socket = {
             let mut inner = self.inner.borrow_mut();
-            let machine = &mut inner.machines[from.0];
-            if machine.open >= machine.descriptors {
-                return Err(io::Error::from_raw_os_error(EMFILE));
-            }
-            machine.open += 1;
+            inner.machines[from.0].take_descriptor()?;
             inner.made += 1;
             let number = inner.made;
             let end = || End { room: ROOM, ..End::default() };
@@ -365,11 +372,7 @@
         if inner.listening.contains_key(&at) {
             return Err(ErrorKind::AddrInUse.into());
         }
-        let machine = &mut inner.machines[host.0];
-        if machine.open >= machine.descriptors {
-            return Err(io::Error::from_raw_os_error(EMFILE));
-        }
-        machine.open += 1;
+        inner.machines[host.0].take_descriptor()?;
         inner.made += 1;
         let number = inner.made;
         inner.listening.insert(at, Listening { host, number, queue: VecDeque::new(), backlog, waker: None });
--- a/crates/simulation/src/net/datagrams.rs
+++ b/crates/simulation/src/net/datagrams.rs
@@ -1,6 +1,6 @@
 //! Datagrams: lost, delayed, doubled, spoilt, overtaking each other; and ways that are cut, one way or both.
 
-use super::{EMFILE, Event, Host, Inner, Net, wake};
+use super::{Event, Host, Inner, Net, wake};
 use crate::dice::Dice;
 use crate::trace::Trace;
 use sillward_seam::world::{self, Datagram};
@@ -100,11 +100,7 @@
         if inner.post.open.contains_key(&at) {
             return Err(ErrorKind::AddrInUse.into());
         }
-        let machine = &mut inner.machines[host.0];
-        if machine.open >= machine.descriptors {
-            return Err(io::Error::from_raw_os_error(EMFILE));
-        }
-        machine.open += 1;
+        inner.machines[host.0].take_descriptor()?;
         inner.made += 1;
         let number = inner.made;
         inner.post.open.insert(at, (host, Open { number, ..Open::default() }));
