A seed of another fleet is never joined: a test with two processes

Change: two processes of two fleets under one key that name each other as seeds; both drop, count and stay asking.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -177,3 +177,40 @@
     assert!(!holds(b"SILLWARD_FAULT"), "the program reads faults from its environment");
     assert!(holds(b"PROXY_CONFIG"), "and this test can see such words");
 }
+
+/// Hard case 5: seeds that are another fleet's members, under the same key, are never joined.
+#[test]
+fn a_seed_of_another_fleet_is_not_joined() {
+    let folder = std::env::temp_dir().join(format!("sillward-two-fleets-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let key = folder.join("key");
+    std::fs::write(&key, "k".repeat(40)).expect("a file");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+    std::fs::set_permissions(&key, mode).expect("its mode");
+    let free = || {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        free.local_addr().expect("its address")
+    };
+    let at = [free(), free()];
+    let discovery = rig::peers::Discovery::start();
+    let start = |i: usize, fleet: &str| {
+        let config = config(discovery.address, &settings(1_000, ""), 256);
+        let config = config.replace("\"name\":\"n0\"", &format!("\"name\":\"n{i}\""));
+        let operator = format!(
+            "[fleet]\nname = \"{fleet}\"\nkey_file = \"{}\"\nlisten = \"{}\"\nseeds = [\"{}\", \"{}\"]\n\
+             [admin]\nlisten = \"127.0.0.1:0\"\n",
+            key.display(),
+            at[i],
+            at[0],
+            at[1]
+        );
+        Node::start_with(&config, &operator)
+    };
+    let nodes = [start(0, "jateng"), start(1, "diy")];
+    let page = |i: usize| nodes[i].operate("GET /admin/fleet").1;
+    rig::peers::until(|| (0..2).all(|i| !page(i).contains("\"fleet\":0")), "frames of the other fleet");
+    for page in [page(0), page(1)] {
+        assert!(page.contains("\"members\":[]") && page.contains("\"standing\":\"asking\""), "{page}");
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
