The fleet's ground sees births, and a rolling change that can't be read is found

The ground now holds every start against what sound nodes say: a birth is known within 4 s or it is a breach. The plant 'unreadable' gives the newer builds of the rolling script an envelope of another version; rig plants plays it, and the check says that they do not agree.

--- a/crates/ground/src/fleet.rs
+++ b/crates/ground/src/fleet.rs
@@ -19,6 +19,9 @@
 
 const FLEET: &str = "ground";
 const SECRET: &str = "the key of a fleet on the ground, which nobody else has";
+/// The plant that makes newer builds such that no other can read them.
+const UNREADABLE: &str = "unreadable";
+
 /// The most bytes of a frame.
 const FRAME: usize = 256;
 /// Between two looks at what a node says of the others.
@@ -170,7 +173,7 @@
             let jump =
                 jump.map(|(_, far, at)| ("SILLWARD_FAULT_CLOCK_JUMP".to_owned(), format!("{far}@{at}")));
             environment.extend(jump);
-            let plant = options.plant.clone();
+            let plant = options.plant.clone().filter(|plant| plant != UNREADABLE);
             environment.extend(plant.map(|plant| ("SILLWARD_FAULT_PLANT".to_owned(), plant)));
             let program = match (&options.faulty, environment.is_empty()) {
                 (_, true) => options.program.clone(),
@@ -245,7 +248,9 @@
         let mut start = place.start.clone();
         if let (true, Some(faulty)) = (newer, &self.options.faulty) {
             start.program = faulty.clone();
-            start.environment.push(("SILLWARD_FAULT_BUILD".to_owned(), "newer".to_owned()));
+            let unreadable = self.options.plant.as_deref() == Some(UNREADABLE);
+            let build = if unreadable { UNREADABLE } else { "newer" };
+            start.environment.push(("SILLWARD_FAULT_BUILD".to_owned(), build.to_owned()));
         }
         let run = place.run.fetch_add(1, Ordering::SeqCst) + 1;
         // Both before it can have sent anything.
--- a/crates/ground/src/members.rs
+++ b/crates/ground/src/members.rs
@@ -13,6 +13,8 @@
 const MORE: &str = "forget_ms = 6000";
 /// Promises, in milliseconds. A death is known to every settled node that nothing keeps from hearing of it.
 const KNOWN_MS: u64 = 6_000;
+/// A birth is known so soon to every node that ran on untroubled, if the born one's ways are sound.
+const BORN_MS: u64 = 4_000;
 /// A living member that can be reached, be it by way of others, is called gone for no longer.
 const WRONGED_MS: u64 = 3_000;
 /// After the last fault all agree again.
@@ -77,6 +79,7 @@
         verdict.breaches.push(format!("{AGREED_MS} ms after the last fault they do not agree: {what}"));
     }
     let known = truth.deaths(&mut verdict.breaches);
+    let births = truth.births(&mut verdict.breaches);
     let alarms = truth.wronged(&mut verdict.breaches);
     truth.lives(&fleet, &mut verdict.breaches);
     truth.pauses(&fleet, &mut verdict.breaches);
@@ -92,9 +95,7 @@
         verdict.breaches.push(format!("a process has grown by {} kB", grown.unwrap_or_default()));
     }
     let ms = |time: &Result<u64, String>| time.as_ref().map_or("never".to_owned(), u64::to_string);
-    let mut sorted = known.clone();
-    sorted.sort();
-    let at = |place: usize| sorted.get(place).map_or("none".to_owned(), u64::to_string);
+    let at = |times: &[u64], place: usize| times.get(place).map_or("none".to_owned(), u64::to_string);
     let time_s = fleet.history.now_us() as f64 / 1e6;
     let cpu: f64 = used.iter().map(|(_, cpu)| cpu).sum::<f64>() / time_s / used.len() as f64;
     let sent: Vec<_> = (0..places.nodes).map(|node| fleet.relays.sent(node)).collect();
@@ -107,8 +108,11 @@
         ("joined_ms", ms(&joined)),
         ("agreed_after_faults_ms", ms(&agreed)),
         ("deaths_seen", known.len().to_string()),
-        ("death_known_median_ms", at(sorted.len() / 2)),
-        ("death_known_worst_ms", at(sorted.len().saturating_sub(1))),
+        ("death_known_median_ms", at(&known, known.len() / 2)),
+        ("death_known_worst_ms", at(&known, known.len().saturating_sub(1))),
+        ("births_seen", births.len().to_string()),
+        ("birth_known_median_ms", at(&births, births.len() / 2)),
+        ("birth_known_worst_ms", at(&births, births.len().saturating_sub(1))),
         ("false_alarms", alarms.0.to_string()),
         ("longest_false_alarm_ms", alarms.1.to_string()),
         ("alarms_with_troubles", loud.0.to_string()),
@@ -357,6 +361,45 @@
                 }
             }
         }
+        all.sort_unstable();
+        all
+    }
+
+    /// Starts after the first: how long until each sound node holds the new life alive, in milliseconds,
+    /// sorted. Counted from the start of the process, so that it includes what the node takes to come up.
+    fn births(&self, breaches: &mut Vec<String>) -> Vec<u64> {
+        let mut all = Vec::new();
+        for start in self.lines.iter().filter(|l| l.what == "started" && l.t_us > self.begins_us) {
+            let Some(node) = start.node else { continue };
+            let (from, until) = (start.t_us, start.t_us + BORN_MS * 1000);
+            if !self.sound(node, from, until) {
+                continue; // it ended or was troubled before the time was over
+            }
+            // One whose folder told it nothing may begin a second life as it hears of an earlier one.
+            let lives = self.lines.iter().filter(|l| l.node == Some(node) && l.what == "life");
+            let run = &start.fields["run"];
+            let new: Vec<_> = lives.filter(|l| l.fields["run"] == *run).map(|l| &l.fields["life"]).collect();
+            if new.is_empty() {
+                breaches.push(format!("n{node}, started at {} ms, was heard by nobody", from / 1000));
+                continue;
+            }
+            let steady = |by: &usize| *by != node && self.sound(*by, from.saturating_sub(1_000_000), until);
+            for by in (0..self.places.nodes).filter(steady) {
+                let holds = |line: &&Line| {
+                    let member = &line.fields["members"][name(node)];
+                    member[0] == "alive" && new.contains(&&member[1])
+                };
+                let known = self.says(by).filter(|line| line.t_us > from).find(holds);
+                match known.filter(|line| line.t_us <= until) {
+                    Some(line) => all.push((line.t_us - from) / 1000),
+                    None => breaches.push(format!(
+                        "n{by} did not know after {BORN_MS} ms that n{node} was born at {} ms",
+                        from / 1000
+                    )),
+                }
+            }
+        }
+        all.sort_unstable();
         all
     }
 
--- a/crates/rig/src/scenario/fleet.rs
+++ b/crates/rig/src/scenario/fleet.rs
@@ -28,8 +28,8 @@
     /// How long the faults last
     #[arg(long, default_value_t = 36)]
     seconds: u64,
-    /// A mistake in every process that the checks must find
-    #[arg(long, value_parser = ["no-incarnation", "one-way-blind", "never-forget"])]
+    /// A mistake in every process that the checks must find; unreadable: in those that a script changes to a newer build
+    #[arg(long, value_parser = ["no-incarnation", "one-way-blind", "never-forget", "unreadable"])]
     plant: Option<String>,
     /// Clocks that run at another rate: NODE:RATE
     #[arg(long, value_delimiter = ',', value_parser = clock)]
--- a/crates/rig/src/scenario/plants.rs
+++ b/crates/rig/src/scenario/plants.rs
@@ -16,6 +16,8 @@
     Planted { arguments, says }
 }
 
+const ROLLING: &str = "crates/ground/scripts/rolling.jsonl";
+
 /// The longest first, so that they run beside the others.
 const ALL: &[Planted] = &[
     planted(
@@ -78,6 +80,10 @@
         ],
         &["has not forgotten"],
     ),
+    planted(
+        &["fleet", "members", "--seed", "1", "--faults", ROLLING, "--plant", "unreadable"],
+        &["they do not agree"],
+    ),
     planted(&["few", "--seed", "1", "--plant", "turn-away"], &["ended as Refused"]),
     planted(&["few", "--seed", "1", "--plant", "late"], &["ended as"]),
     planted(
