--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -150,7 +150,10 @@
     let (head, body) = answer.split_once("\r\n\r\n").ok_or("its answer is cut off")?;
     match head.split(' ').nth(1) {
         Some("200") => Ok(body.to_owned()),
-        Some("404") => Err("it has no such page: its operator file has no such table".to_owned()),
+        Some("404") => {
+            let table = if path == SETTINGS { "agreement" } else { "fleet" };
+            Err(format!("it has no such page: its operator file has no [{table}]"))
+        }
         Some("400" | "409" | "413") => Err(body.trim_end().to_owned()),
         status => Err(format!("it answers {}", status.unwrap_or_default())),
     }
