--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -629,7 +629,8 @@
     fn on_settings(&mut self, settings: Settings) {
         self.allowances.resize_with(settings.tenants.len().max(self.allowances.len()), Default::default);
         self.patience.resize(settings.classes.len().max(self.patience.len()), Duration::ZERO);
-        // A request keeps its class with its terms, but for a repeat kind that is stricter now where that is said.
+        // A request keeps its class with its terms, but for a repeat kind that is stricter now, where nodes
+        // have agreed on it.
         for request in self.requests.values_mut().filter(|_| settings.stricter_at_once) {
             let Some(class) = settings.classes.get(request.class) else { continue };
             request.repeat = request.repeat.stricter(class.repeat);
