--- a/src/main.rs
+++ b/src/main.rs
@@ -39,7 +39,7 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
-    /// Founds this voter's folder, once: `folder` of [agreement]. A voter whose file is lost never votes again by itself
+    /// Founds this voter's folder, once: its folder of the agreement. A voter whose file is lost never votes again by itself
     Found {
         /// The operator file (TOML)
         #[arg(long, value_name = "FILE")]
