--- a/crates/links/tests/wire.rs
+++ b/crates/links/tests/wire.rs
@@ -68,7 +68,14 @@
 fn what_is_not_this_fleets_is_told_apart_by_why() {
     let bytes = envelopes().seal(&sealed(1));
     assert_eq!(envelopes().open(&[]), Err(Dropped::Length));
-    assert_eq!(envelopes().open(&[1; 300]), Err(Dropped::Length));
+    assert_eq!(envelopes().open(&[1; 1401]), Err(Dropped::Length));
+    // Another part's word may be longer than a frame may.
+    let word = |long| Sealed { frame: Frame::default(), topic: 2, word: vec![7; long], ..sealed(1) };
+    assert_eq!(envelopes().open(&envelopes().seal(&word(1000))), Ok(word(1000)));
+    assert_eq!(envelopes().open(&envelopes().seal(&word(1400))), Err(Dropped::Length));
+    let mut long = sealed(1);
+    long.frame.values[0].value = vec![7; 300];
+    assert_eq!(envelopes().open(&envelopes().seal(&long)), Err(Dropped::Length));
     let mut other = bytes.clone();
     other[0] = 2;
     assert_eq!(envelopes().open(&other), Err(Dropped::Version));
