What the agreement wrote twice is there once: options, served calls, plants as lines

The ground took [agreement] as a text that it searched for: it has a field now, and the share of served calls, the options of a fleet and the node's end stand in one place each. Plants are the command lines that they are.

--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -100,8 +100,8 @@
     keep_again: Option<Duration>,
     kept: u64,
     out: Vec<Action>,
-    /// Figures: engine messages sent, versions confirmed here, failed writes.
-    pub figures: [u64; 3],
+    /// Writes that the disk did not take.
+    pub failed_writes: u64,
 }
 
 impl Voter {
@@ -138,7 +138,7 @@
             keep_again: None,
             kept: 0,
             out: Vec::new(),
-            figures: [0; 3],
+            failed_writes: 0,
         }
     }
 
@@ -355,7 +355,6 @@
                 Message::SequencePaxos(paxos) => paxos.to,
                 Message::BLE(ble) => ble.to,
             };
-            self.figures[0] += 1;
             let Ok(bytes) = postcard::to_stdvec(&message) else { continue };
             let word = Between::Engine(bytes);
             if matches!(message, Message::BLE(_)) {
@@ -377,7 +376,6 @@
             let new: Vec<Version> = history.iter().filter(|v| v.number > self.newest).cloned().collect();
             self.newest = history.newest();
             self.granter.confirmed(self.newest);
-            self.figures[1] += new.len() as u64;
             self.say(Action::Confirmed(new));
         }
     }
@@ -437,7 +435,7 @@
         self.keeping = None;
         if !done {
             // Nothing that waits for it is said; it looks dead to the others, which go on without it.
-            self.figures[2] += 1;
+            self.failed_writes += 1;
             self.keep_again = Some(now + SILENT);
             return;
         }
--- a/crates/agreement/tests/world/mod.rs
+++ b/crates/agreement/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use sillward_agreement::words::{Answer, Ask, Proposal, Sealed};
 use sillward_agreement::{Terms, voter::Event};
 use sillward_peers::Name;
-use sillward_rules::{Key, Reading, Repeat, Rules, Value, Version};
+use sillward_rules::{Key, Reading, Rules, Value, Version};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
@@ -679,10 +679,3 @@
         self.run(ms(10_000));
     }
 }
-
-/// A class's repeat kind as rules.
-pub fn repeat(class: &str, repeat: Repeat) -> Rules {
-    let mut rules = Rules::default();
-    rules.put(Key::Repeat(class.to_owned()), Value::Repeat(repeat)).expect("a value");
-    rules
-}
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -147,22 +147,13 @@
     }
     let fleet = match &operator.fleet {
         None => None,
-        Some(terms) => {
-            let mut stop = controls.stop.clone();
-            let stop = async move {
-                let _ = stop.wait_for(|stopped| *stopped).await; // its teller's end tells so too
-            };
-            Some(fleet::start(clock, &config, terms, stop).await?)
-        }
+        Some(terms) => Some(fleet::start(clock, &config, terms, stopped(controls.stop.clone())).await?),
     };
     let changed = Rc::new(Notify::new());
     let lapse = Rc::new(Lapse::default());
     let council = match (&operator.agreement, &fleet) {
         (Some(terms), Some(fleet)) => {
-            let mut stop = controls.stop.clone();
-            let stop = async move {
-                let _ = stop.wait_for(|stopped| *stopped).await; // as above
-            };
+            let stop = stopped(controls.stop.clone());
             Some(agreement::start(clock, &config, terms, fleet, (changed.clone(), lapse.clone()), stop)?)
         }
         _ => None,
@@ -242,6 +233,11 @@
     }
 }
 
+/// Until the node is told to end.
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stopped| *stopped).await; // its teller's end tells so too
+}
+
 /// The backend protocols: HTTP/1.1, and beside it whatever the operator file names for a machine type. All share
 /// the descriptors that backends may take.
 fn backends(
--- a/crates/council/src/page.rs
+++ b/crates/council/src/page.rs
@@ -49,7 +49,7 @@
         };
         json!({ "stands": stands, "leader": leader, "leads": leads, "rights_out": voter.granter().out(),
             "rights_refused": voter.granter().refused, "held_up_by": holding, "entries": decided,
-            "entries_kept": loose, "failed_writes": voter.figures[2] })
+            "entries_kept": loose, "failed_writes": voter.failed_writes })
     });
     let voter = said
         .or_else(|| council.lost.as_ref().map(|why| json!({ "stands": format!("does not vote: {why}") })));
--- a/crates/ground/src/fleet.rs
+++ b/crates/ground/src/fleet.rs
@@ -54,6 +54,8 @@
     pub rate: u32,
     /// Further lines of the operator file's `[fleet]`.
     pub more: String,
+    /// What they agree on.
+    pub agreed: Option<Agreed>,
     /// Where the history goes.
     pub history: Option<PathBuf>,
 }
@@ -61,6 +63,35 @@
 /// Files and what they hold.
 type Files = Vec<(PathBuf, Vec<u8>)>;
 
+/// The settings on which a fleet agrees.
+#[derive(Clone, Copy, Debug)]
+pub struct Agreed {
+    /// The first so many nodes vote.
+    pub voters: usize,
+    /// W, in milliseconds.
+    pub bound_ms: u64,
+}
+
+impl Options {
+    /// A fleet of the program that ships, with nothing wrong in it, called five times a second at each node.
+    pub fn of(places: Places, seed: u64, program: PathBuf) -> Self {
+        Options {
+            places,
+            seed,
+            program,
+            faulty: None,
+            disk_ms: None,
+            plant: None,
+            clocks: Vec::new(),
+            jumps: Vec::new(),
+            rate: 5,
+            more: String::new(),
+            agreed: None,
+            history: None,
+        }
+    }
+}
+
 /// A node's place; its process comes and goes.
 pub struct Place {
     /// The process, while there is one.
@@ -179,10 +210,11 @@
                 options.places.zone(node),
                 options.places.region(node),
                 own.display(),
-                options.more.replace("OWN", &own.display().to_string()),
+                options.more,
             );
-            std::fs::write(&operator, text).map_err(wrong)?;
-            if options.more.contains("[agreement]") && options.more.contains(&format!("\"n{node}\"")) {
+            let agreement = options.agreed.map(|agreed| agreement(agreed, &own)).unwrap_or_default();
+            std::fs::write(&operator, text + &agreement).map_err(wrong)?;
+            if options.agreed.is_some_and(|agreed| node < agreed.voters) {
                 let mut found = std::process::Command::new(&options.program);
                 found.arg("found").arg("--operator").arg(&operator).env("PROXY_CONFIG", &config);
                 let done = found.output().map_err(wrong)?;
@@ -550,6 +582,26 @@
         used
     }
 
+    /// Calls at nodes that ran, and the share of them that was served: the fleet's troubles are not the callers'.
+    pub(crate) fn served(
+        &self,
+        ran: impl Fn(usize, &Asked) -> bool,
+        breaches: &mut Vec<String>,
+    ) -> (usize, f64) {
+        let (mut all, mut good) = (0, 0);
+        for (node, asked) in self.asked.iter().enumerate() {
+            for asked in asked.lock().expect("calls").iter().filter(|asked| ran(node, asked)) {
+                all += 1;
+                good += usize::from(asked.status == 200);
+            }
+        }
+        let share = good as f64 / all.max(1) as f64;
+        if all > 0 && share < 0.99 {
+            breaches.push(format!("{good} of {all} calls at nodes that ran were served"));
+        }
+        (all, share)
+    }
+
     /// What a node's log says last.
     pub fn log(&self, node: usize) -> Vec<String> {
         let slot = self.places[node].process.lock().expect("a process");
@@ -557,6 +609,17 @@
     }
 }
 
+/// The operator file's table.
+fn agreement(agreed: Agreed, folder: &Path) -> String {
+    let voters: Vec<String> = (0..agreed.voters).map(|node| format!("\"n{node}\"")).collect();
+    format!(
+        "[agreement]\nlog = \"ground\"\nvoters = [{}]\nfolder = \"{}\"\nbound_ms = {}\n",
+        voters.join(", "),
+        folder.display(),
+        agreed.bound_ms
+    )
+}
+
 fn noise(random: &mut Random, number: u64) -> Vec<u8> {
     let mut bytes = vec![0u8; 20 + random.below(236)];
     bytes.iter_mut().for_each(|byte| *byte = random.number() as u8);
--- a/crates/ground/src/members.rs
+++ b/crates/ground/src/members.rs
@@ -1,6 +1,6 @@
 //! The scenario `members`: what each says of the others, held against what was done to them.
 
-use crate::fleet::{Fleet, Options};
+use crate::fleet::{Asked, Fleet, Options};
 use crate::history::Line;
 use crate::script::{self, Fault, Places, What};
 use serde_json::{Value, json};
@@ -85,7 +85,11 @@
     truth.pauses(&fleet, &mut verdict.breaches);
     truth.forgotten(&mut verdict.breaches);
     let loud = truth.alarms();
-    let served = served(&fleet, &truth, &mut verdict.breaches);
+    let ran = |node: usize, asked: &Asked| {
+        let to = asked.t_us + asked.took_us;
+        truth.up[node].iter().any(|(a, b)| *a + 1_500_000 <= asked.t_us && *b >= to)
+    };
+    let served = fleet.served(ran, &mut verdict.breaches);
     let most = rates.iter().copied().fold(0.0, f64::max);
     if most > BYTES {
         verdict.breaches.push(format!("a node sent {most:.0} bytes a second for five seconds"));
@@ -587,23 +591,3 @@
         }
     }
 }
-
-/// Calls at nodes that ran, and the share of them that was served: the fleet's troubles are not the callers'.
-fn served(fleet: &Fleet, truth: &Truth, breaches: &mut Vec<String>) -> (usize, f64) {
-    let (mut all, mut good) = (0, 0);
-    for (node, asked) in fleet.asked.iter().enumerate() {
-        for asked in asked.lock().expect("calls").iter() {
-            let to = asked.t_us + asked.took_us;
-            let ran = truth.up[node].iter().any(|(a, b)| *a + 1_500_000 <= asked.t_us && *b >= to);
-            if ran {
-                all += 1;
-                good += usize::from(asked.status == 200);
-            }
-        }
-    }
-    let share = good as f64 / all.max(1) as f64;
-    if all > 0 && share < 0.99 {
-        breaches.push(format!("{good} of {all} calls at nodes that ran were served"));
-    }
-    (all, share)
-}
--- a/crates/ground/src/settings.rs
+++ b/crates/ground/src/settings.rs
@@ -5,7 +5,7 @@
 //! force, as an operator was told by any node; no version that was confirmed is lost or stands for two changes; and calls are
 //! served as without a change.
 
-use crate::fleet::{DROPPED, Fleet, Options, post};
+use crate::fleet::{Agreed, Asked, DROPPED, Fleet, Options, post};
 use crate::members::Verdict;
 use crate::relays::Way;
 use crate::script::{Fault, Folder, What, Which};
@@ -57,13 +57,10 @@
 /// # Errors
 /// The ground could not be laid, or a process did not start: no verdict.
 pub fn play(play: &Play) -> Result<Verdict, String> {
-    let mut options = play.options.clone();
-    let names: Vec<String> = (0..play.voters).map(|node| format!("\"n{node}\"")).collect();
-    options.more = format!(
-        "[agreement]\nlog = \"ground\"\nvoters = [{}]\nfolder = \"OWN\"\nbound_ms = {}\n",
-        names.join(", "),
-        play.bound_ms
-    );
+    let options = Options {
+        agreed: Some(Agreed { voters: play.voters, bound_ms: play.bound_ms }),
+        ..play.options.clone()
+    };
     let mut random = Random::new(options.seed.wrapping_mul(0x9e37_79b9).wrapping_add(29));
     let mut drawn = || (0..play.count).map(|_| ROUNDS[random.below(ROUNDS.len())].to_owned()).collect();
     let rounds: Vec<String> = if play.rounds.is_empty() { drawn() } else { play.rounds.clone() };
@@ -83,7 +80,15 @@
     let seen = std::mem::take(&mut *seen.lock().expect("what was seen"));
     verdict.breaches.extend(seen.breaches.iter().cloned());
     let (resent, sights) = sights(&fleet, &changes, &mut verdict.breaches);
-    let (calls, share) = served(&fleet, &mut verdict.breaches);
+    let lines = fleet.history.lines();
+    let ran = |node: usize, asked: &Asked| {
+        !lines.iter().any(|line| {
+            let near = line.t_us + 2_500_000 > asked.t_us && line.t_us < asked.t_us + asked.took_us;
+            let other = matches!(line.what, "killed" | "paused" | "started" | "goes-on");
+            line.node == Some(node) && other && near
+        })
+    };
+    let (calls, share) = fleet.served(ran, &mut verdict.breaches);
     let mut force: Vec<u64> = changes.iter().map(|c| (c.force_us - c.confirmed_us) / 1000).collect();
     force.sort_unstable();
     let mut asked: Vec<u64> = changes.iter().map(|c| (c.confirmed_us - c.asked_us) / 1000).collect();
@@ -337,27 +342,3 @@
     }
     (again, calls.len())
 }
-
-fn served(fleet: &Fleet, breaches: &mut Vec<String>) -> (usize, f64) {
-    let lines = fleet.history.lines();
-    let (mut all, mut good) = (0, 0);
-    for (node, asked) in fleet.asked.iter().enumerate() {
-        for asked in asked.lock().expect("calls").iter() {
-            let down = lines.iter().any(|line| {
-                let near = line.t_us + 2_500_000 > asked.t_us && line.t_us < asked.t_us + asked.took_us;
-                line.node == Some(node)
-                    && matches!(line.what, "killed" | "paused" | "started" | "goes-on")
-                    && near
-            });
-            if !down {
-                all += 1;
-                good += usize::from(asked.status == 200);
-            }
-        }
-    }
-    let share = good as f64 / all.max(1) as f64;
-    if all > 0 && share < 0.99 {
-        breaches.push(format!("{good} of {all} calls at nodes that ran were served"));
-    }
-    (all, share)
-}
--- a/crates/rig/src/scenario/fleet.rs
+++ b/crates/rig/src/scenario/fleet.rs
@@ -120,6 +120,7 @@
         jumps: options.jumps.clone(),
         rate: options.rate,
         more: String::new(),
+        agreed: None,
         history: options.history.clone(),
         disk_ms: options.disk_ms,
     };
--- a/crates/rig/src/scenario/plain.rs
+++ b/crates/rig/src/scenario/plain.rs
@@ -38,19 +38,7 @@
 fn measure(options: &Options) -> Result<usize, String> {
     let program = beside("sillward").ok_or("sillward is not built")?;
     let places = Places { nodes: options.nodes, zones: 3 };
-    let fleet = Fleet::new(Ground {
-        places,
-        seed: 1,
-        program: program.clone(),
-        faulty: None,
-        plant: None,
-        disk_ms: None,
-        clocks: Vec::new(),
-        jumps: Vec::new(),
-        rate: 0,
-        more: String::new(),
-        history: None,
-    })?;
+    let fleet = Fleet::new(Ground { rate: 0, ..Ground::of(places, 1, program.clone()) })?;
     fleet.start()?;
     let boxes: Vec<Backend> = (0..BOXES).map(|_| Backend::start(|_| ok("counted"))).collect();
     let lines: Vec<String> = (boxes.iter().enumerate())
--- a/crates/rig/src/scenario/plants.rs
+++ b/crates/rig/src/scenario/plants.rs
@@ -7,137 +7,58 @@
 
 /// A plant: how it is played, and what the check that is meant for it must say.
 struct Planted {
-    arguments: &'static [&'static str],
+    arguments: &'static str,
     /// Any of these.
     says: &'static [&'static str],
 }
 
-const fn planted(arguments: &'static [&'static str], says: &'static [&'static str]) -> Planted {
+const fn planted(arguments: &'static str, says: &'static [&'static str]) -> Planted {
     Planted { arguments, says }
 }
 
-const ROLLING: &str = "crates/ground/scripts/rolling.jsonl";
-
 /// The longest first, so that they run beside the others.
 const ALL: &[Planted] = &[
+    planted("etcd --seed 1 --seconds 8 --plant empty-on-silence", &["nothing was sent to anybody"]),
+    planted("etcd --seed 2 --seconds 12 --plant forget-compacted", &["sends past the grace"]),
+    planted("thrift --seed 1 --seconds 6 --plant double-send", &["took effect 2 times"]),
     planted(
-        &["etcd", "--seed", "1", "--seconds", "8", "--plant", "empty-on-silence"],
-        &["nothing was sent to anybody"],
-    ),
-    planted(
-        &["etcd", "--seed", "2", "--seconds", "12", "--plant", "forget-compacted"],
-        &["sends past the grace"],
-    ),
-    planted(&["thrift", "--seed", "1", "--seconds", "6", "--plant", "double-send"], &["took effect 2 times"]),
-    planted(
-        &[
-            "fleet",
-            "members",
-            "--nodes",
-            "5",
-            "--seed",
-            "2",
-            "--seconds",
-            "12",
-            "--kinds",
-            "pause,kill",
-            "--plant",
-            "no-incarnation",
-        ],
+        "fleet members --nodes 5 --seed 2 --seconds 12 --kinds pause,kill --plant no-incarnation",
         &["sent frames of life"],
     ),
     planted(
-        &[
-            "fleet",
-            "members",
-            "--nodes",
-            "6",
-            "--seed",
-            "2",
-            "--seconds",
-            "16",
-            "--kinds",
-            "cut-one-way",
-            "--plant",
-            "one-way-blind",
-        ],
+        "fleet members --nodes 6 --seed 2 --seconds 16 --kinds cut-one-way --plant one-way-blind",
         &["was called gone"],
     ),
     planted(
-        &[
-            "fleet",
-            "members",
-            "--nodes",
-            "5",
-            "--seed",
-            "1",
-            "--seconds",
-            "22",
-            "--kinds",
-            "kill",
-            "--plant",
-            "never-forget",
-        ],
+        "fleet members --nodes 5 --seed 1 --seconds 22 --kinds kill --plant never-forget",
         &["has not forgotten"],
     ),
     planted(
-        &["fleet", "members", "--seed", "1", "--faults", ROLLING, "--plant", "unreadable"],
+        "fleet members --seed 1 --faults crates/ground/scripts/rolling.jsonl --plant unreadable",
         &["they do not agree"],
     ),
     planted(
-        &[
-            "fleet",
-            "settings",
-            "--nodes",
-            "9",
-            "--seed",
-            "1",
-            "--rounds",
-            "restart,restart",
-            "--plant",
-            "forget-right",
-            "--bound-ms",
-            "6000",
-        ],
-        &["was sent again"],
-    ),
-    planted(
-        &["fleet", "settings", "--nodes", "9", "--seed", "1", "--rounds", "late", "--plant", "from-arrival"],
-        &["was sent again"],
-    ),
-    planted(
-        &["fleet", "settings", "--nodes", "9", "--seed", "1", "--rounds", "cut-off", "--plant", "skip-wait"],
+        "fleet settings --nodes 9 --seed 1 --rounds restart,restart --plant forget-right --bound-ms 6000",
         &["was sent again"],
     ),
+    planted("fleet settings --nodes 9 --seed 1 --rounds late --plant from-arrival", &["was sent again"]),
+    planted("fleet settings --nodes 9 --seed 1 --rounds cut-off --plant skip-wait", &["was sent again"]),
     planted(
-        &[
-            "fleet",
-            "settings",
-            "--nodes",
-            "9",
-            "--seed",
-            "1",
-            "--rounds",
-            "bounce,bounce",
-            "--plant",
-            "no-sync",
-            "--disk-ms",
-            "700",
-        ],
+        "fleet settings --nodes 9 --seed 1 --rounds bounce,bounce --plant no-sync --disk-ms 700",
         &["was sent again", "and was", "is not in force"],
     ),
-    planted(&["few", "--seed", "1", "--plant", "turn-away"], &["ended as Refused"]),
-    planted(&["few", "--seed", "1", "--plant", "late"], &["ended as"]),
+    planted("few --seed 1 --plant turn-away", &["ended as Refused"]),
+    planted("few --seed 1 --plant late", &["ended as"]),
     planted(
-        &["night", "--jobs", "1", "--seeds", "0..100", "--often", "--plant", "double-correct"],
+        "night --jobs 1 --seeds 0..100 --often --plant double-correct",
         &["refused-and-ran", "effect-twice"],
     ),
-    planted(&["night", "--jobs", "1", "--seeds", "0..100", "--often", "--plant", "missed-drain"], &["drain"]),
-    planted(&["night", "--jobs", "1", "--seeds", "0..10", "--plant", "answer-twice"], &["answered-twice"]),
-    planted(&["night", "--jobs", "1", "--seeds", "0..10", "--plant", "late-bytes"], &["foreign-answer"]),
-    planted(&["night", "--jobs", "1", "--seeds", "0..10", "--plant", "leak"], &["leak"]),
-    planted(&["night", "--jobs", "1", "--seeds", "0..10", "--plant", "busy"], &["still"]),
-    planted(&["pages", "--plant", "stale", "docs/simulation.md"], &["command not found"]),
+    planted("night --jobs 1 --seeds 0..100 --often --plant missed-drain", &["drain"]),
+    planted("night --jobs 1 --seeds 0..10 --plant answer-twice", &["answered-twice"]),
+    planted("night --jobs 1 --seeds 0..10 --plant late-bytes", &["foreign-answer"]),
+    planted("night --jobs 1 --seeds 0..10 --plant leak", &["leak"]),
+    planted("night --jobs 1 --seeds 0..10 --plant busy", &["still"]),
+    planted("pages --plant stale docs/simulation.md", &["command not found"]),
 ];
 
 /// Runs them side by side, and returns the exit code.
@@ -151,7 +72,7 @@
                     let (seen, last) = play(plant);
                     let word = if seen { "found" } else { "BLIND" };
                     let took = begun.elapsed().as_secs_f64();
-                    println!("{word} {} ({took:.0} s): {last}", plant.arguments.join(" "));
+                    println!("{word} {} ({took:.0} s): {last}", plant.arguments);
                     *blind.lock().expect("the count") += usize::from(!seen);
                 }
             });
@@ -167,7 +88,7 @@
     let own = std::env::current_exe().expect("its own path");
     // Built already by whoever started this.
     let mut command = Command::new(own);
-    command.args(plant.arguments).env_remove("CARGO").stdin(Stdio::null()).stderr(Stdio::null());
+    command.args(plant.arguments.split(' ')).env_remove("CARGO").stdin(Stdio::null()).stderr(Stdio::null());
     let Ok(output) = command.output() else { return (false, "it did not start".to_owned()) };
     let text = String::from_utf8_lossy(&output.stdout);
     let last = text.lines().last().unwrap_or_default();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -17,19 +17,7 @@
 
 fn played(seed: u64, faults: Vec<(u64, What)>) -> Verdict {
     let faults = faults.into_iter().map(|(at_ms, what)| Fault { at_ms, what }).collect();
-    let options = Options {
-        places: PLACES,
-        seed,
-        program: program(),
-        faulty: None,
-        disk_ms: None,
-        plant: None,
-        clocks: Vec::new(),
-        jumps: Vec::new(),
-        rate: 5,
-        more: String::new(),
-        history: None,
-    };
+    let options = Options::of(PLACES, seed, program());
     let play = Play { options, faults: Some(faults), kinds: Vec::new(), every_ms: 4_000, seconds: 0 };
     let verdict = members::play(&play).expect("the ground is laid");
     assert!(verdict.breaches.is_empty(), "{:#?}\n{}", verdict.breaches, verdict.script);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings on which processes of the program agree: what an operator types and reads, and what holds when voters are gone.
 
-use ground::fleet::{Fleet, Options, beside};
+use ground::fleet::{Agreed, Fleet, Options, beside};
 use ground::script::Places;
 use ground::settings::{self, Play};
 use rig::peers::{config, settings as platform};
@@ -8,25 +8,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn options(seed: u64, more: &str) -> Options {
-    Options {
-        places: Places { nodes: 9, zones: 3 },
-        seed,
-        program: beside("sillward").expect("sillward is built"),
-        faulty: None,
-        disk_ms: None,
-        plant: None,
-        clocks: Vec::new(),
-        jumps: Vec::new(),
-        rate: 5,
-        more: more.to_owned(),
-        history: None,
-    }
+fn options(seed: u64) -> Options {
+    Options::of(Places { nodes: 9, zones: 3 }, seed, beside("sillward").expect("sillward is built"))
 }
 
 fn played(seed: u64, rounds: &[&str]) {
     let rounds = rounds.iter().map(|round| (*round).to_owned()).collect();
-    let play = Play { options: options(seed, ""), voters: 5, bound_ms: 2_000, rounds, count: 0 };
+    let play = Play { options: options(seed), voters: 5, bound_ms: 2_000, rounds, count: 0 };
     let verdict = settings::play(&play).expect("the ground is laid");
     assert!(verdict.breaches.is_empty(), "{:#?}", verdict.breaches);
 }
@@ -44,9 +32,6 @@
     played(2, &["leader", "restart", "bounce", "halves"]);
 }
 
-const AGREEMENT: &str =
-    "[agreement]\nlog = \"test\"\nvoters = [\"n0\", \"n1\", \"n2\"]\nfolder = \"OWN\"\nbound_ms = 1000\n";
-
 fn ctl(fleet: &Arc<Fleet>, node: usize, arguments: &[&str]) -> (bool, String) {
     let admin = fleet.places[node].process.lock().expect("a process").as_ref().map(|process| process.admin);
     let admin = admin.expect("it runs").to_string();
@@ -71,7 +56,8 @@
 
 #[test]
 fn an_operator_changes_settings_and_reads_what_holds() {
-    let fleet = Fleet::new(options(3, AGREEMENT)).expect("the ground is laid");
+    let fleet = Fleet::new(Options { agreed: Some(Agreed { voters: 3, bound_ms: 1_000 }), ..options(3) })
+        .expect("the ground is laid");
     fleet.start().expect("all start");
     until(&fleet, 8, "may act on it for");
     let folder = std::env::temp_dir().join(format!("sillward-settings-{}", std::process::id()));
