Every connection sends without delay, and shows an end behind bytes that nobody has read

Connections to discovery were opened without TCP_NODELAY: the seam sets it where a connection is opened or accepted, so none can lack it. Whether a peer has gone is asked of the kernel, and behind unread bytes of what the runtime has heard (EPOLLRDHUP).

--- a/crates/etcd/src/grpc.rs
+++ b/crates/etcd/src/grpc.rs
@@ -102,7 +102,6 @@
     /// It can't be opened, or what answers speaks no HTTP/2.
     pub async fn connect(endpoint: SocketAddr) -> Result<Self, Status> {
         let stream = TcpStream::connect(endpoint).await.map_err(Status::broken)?;
-        let _ = stream.set_nodelay(true);
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW).enable_push(false);
         let (sender, connection) = builder.handshake(stream).await.map_err(Status::broken)?;
--- a/crates/seam/src/net.rs
+++ b/crates/seam/src/net.rs
@@ -24,19 +24,26 @@
     /// It can't be opened: the system's error.
     pub async fn connect(to: SocketAddr) -> io::Result<Self> {
         Ok(TcpStream(match world::current() {
-            None => Stands::System(tokio::net::TcpStream::connect(to).await?),
+            None => Stands::System(prompt(tokio::net::TcpStream::connect(to).await?)),
             Some(world) => Stands::World(world.dial(to).await?),
         }))
     }
 
-    /// Sends what is written without delay.
-    ///
-    /// # Errors
-    /// The system's.
-    pub fn set_nodelay(&self, on: bool) -> io::Result<()> {
-        match &self.0 {
-            Stands::System(stream) => stream.set_nodelay(on),
-            Stands::World(_) => Ok(()),
+    /// Whether the peer has ended its sending or reset the connection, as far as the kernel and the runtime tell without
+    /// reading: behind bytes that nobody has read the end shows only where the runtime has heard of it.
+    pub(crate) fn has_ended(&self) -> bool {
+        let stream = match &self.0 {
+            Stands::System(stream) => stream,
+            Stands::World(socket) => return socket.has_ended(),
+        };
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => true,
+            Ok(_) => {
+                let heard = std::pin::pin!(stream.ready(tokio::io::Interest::READABLE));
+                let heard = heard.poll(&mut Context::from_waker(std::task::Waker::noop()));
+                matches!(heard, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+            }
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
         }
     }
 
@@ -146,13 +153,19 @@
                     std::net::IpAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
                 };
                 socket.bind(SocketAddr::new(from, 0))?;
-                Stands::System(socket.connect(to).await?)
+                Stands::System(prompt(socket.connect(to).await?))
             }
             Some(world) => Stands::World(world.dial(to).await?),
         }))
     }
 }
 
+/// Sends what is written without delay: what the kernel still held back would go with a connection that is reset.
+fn prompt(stream: tokio::net::TcpStream) -> tokio::net::TcpStream {
+    let _ = stream.set_nodelay(true); // it has been closed by its peer already
+    stream
+}
+
 /// A socket for datagrams.
 pub struct UdpSocket(Carries);
 
@@ -278,7 +291,7 @@
         match &self.0 {
             Listens::System(listener) => {
                 let (stream, from) = listener.accept().await?;
-                Ok((TcpStream(Stands::System(stream)), from))
+                Ok((TcpStream(Stands::System(prompt(stream))), from))
             }
             Listens::World(listener) => {
                 let (socket, from) = std::future::poll_fn(|cx| listener.poll_accept(cx)).await?;
--- a/crates/seam/src/stream.rs
+++ b/crates/seam/src/stream.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Whether the peer has ended its sending, or either side the connection, as far as it shows without reading.
+    pub fn has_ended(&self) -> bool {
+        self.0.upgrade().is_none_or(|shared| shared.stream.has_ended())
+    }
+
     /// Whether it is open and has nothing to read. Asks the kernel: what the runtime has heard of it may be a
     /// turn of the loop old.
     pub fn is_quiet(&self) -> bool {
@@ -48,14 +53,18 @@
 }
 
 impl Stream {
-    /// Takes a stream over, and sends what is written to it without delay.
+    /// Takes a stream over.
     pub fn new(stream: TcpStream) -> (Self, Handle) {
-        let _ = stream.set_nodelay(true);
         let shared = Rc::new(Shared { stream, heard: Cell::default(), blocked: Cell::default() });
         let handle = Handle(Rc::downgrade(&shared));
         (Stream(shared), handle)
     }
 
+    /// The same stream once more: it closes when both are dropped.
+    pub fn again(&self) -> Stream {
+        Stream(self.0.clone())
+    }
+
     /// Bounds the bytes that the kernel takes before the peer does. It counts them in its own way, and has a least.
     pub fn bound_unsent(&self, bytes: usize) {
         self.0.stream.bound_unsent(bytes);
--- a/crates/seam/src/world.rs
+++ b/crates/seam/src/world.rs
@@ -31,6 +31,8 @@
     fn shut_write(&self) -> io::Result<()>;
     /// Whether it is open and has nothing to read.
     fn is_quiet(&self) -> bool;
+    /// Whether the peer has ended its sending or reset the connection, as far as it shows without reading.
+    fn has_ended(&self) -> bool;
     /// Bounds the bytes that are taken before the peer takes them.
     fn bound_unsent(&self, bytes: usize);
 }
--- a/crates/simulation/src/net.rs
+++ b/crates/simulation/src/net.rs
@@ -833,6 +833,10 @@
         self.is_silent()
     }
 
+    fn has_ended(&self) -> bool {
+        self.with(|conn, end| conn.ends[end].ended || conn.ends[end].reset).unwrap_or(true)
+    }
+
     fn bound_unsent(&self, bytes: usize) {
         self.with(|conn, end| conn.ends[1 - end].room = bytes.max(4096));
     }
