--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,7 +8,7 @@
 use sillward_log::log_peer;
 use sillward_seam::net::TcpStream;
 use sillward_seam::task::spawn_local;
-use sillward_seam::time::{sleep, timeout};
+use sillward_seam::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use sillward_seam::{Clock, Handle, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -20,6 +20,11 @@
 
 /// A dial that has failed for whoever waited is let go of after so many times its time more.
 const LATE: u32 = 4;
+/// After an answer a connection rests for so long: a second answer may come some milliseconds late, and would be read as the
+/// next request's.
+pub const REST: Duration = Duration::from_millis(10);
+/// A dial that has taken so many times the usual is slow: a second one is tried beside it.
+const SLOW: u32 = 3;
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const EADDRNOTAVAIL: i32 = 99;
@@ -109,6 +114,14 @@
 
 pub type Delivery<P> = Result<Connection<P>, Outcome>;
 
+/// A connection that carries nothing.
+struct Idle<P: Protocol> {
+    connection: Connection<P>,
+    since: Duration,
+    /// When it has rested after its last answer.
+    rested: Duration,
+}
+
 struct Place<P: Protocol> {
     address: Option<SocketAddr>,
     state: ServerState,
@@ -116,8 +129,10 @@
     epoch: u64,
     /// When it was told that the backend drains or is gone.
     told: Option<Duration>,
-    /// Idle connections, each with when it fell idle; the last used comes last.
-    idle: Vec<(Connection<P>, Duration)>,
+    /// Idle connections; the last used comes last.
+    idle: Vec<Idle<P>>,
+    /// Attempts that wait until one of them has rested: never more than there are.
+    patient: usize,
     /// Attempts that wait for a connection, and dials under way: never fewer dials than waiting attempts.
     waiting: VecDeque<oneshot::Sender<Delivery<P>>>,
     dialling: usize,
@@ -132,6 +147,7 @@
             epoch: 0,
             told: None,
             idle: Vec::new(),
+            patient: 0,
             waiting: VecDeque::new(),
             dialling: 0,
         }
@@ -143,6 +159,24 @@
         self.epoch += 1;
         self.idle.clear();
     }
+
+    /// Takes the most recently used connection that may carry a request, and drops those before it that never will again.
+    fn rested(&mut self, now: Duration, idle_limit: Duration) -> Option<Connection<P>> {
+        while let Some(place) = self.idle.iter().rposition(|idle| now >= idle.rested) {
+            let idle = self.idle.remove(place);
+            if idle.connection.is_usable() && now.saturating_sub(idle.since) < idle_limit {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    /// When the next of those that rest has rested, unless others wait for all of them.
+    fn next_rested(&self) -> Option<Duration> {
+        let mut times: Vec<_> = self.idle.iter().map(|idle| idle.rested).collect();
+        times.sort_unstable();
+        times.get(self.patient).copied()
+    }
 }
 
 /// A day brings ever new backends. Nothing is sent any more to one that is gone, whoever decided to; only a dial
@@ -157,12 +191,15 @@
     terms: Cell<Terms>,
     places: RefCell<BTreeMap<ServerId, Place<P>>>,
     sockets: Rc<Sockets>,
+    /// How long a dial takes that comes up, smoothed.
+    usual_dial: Cell<Duration>,
 }
 
 impl<P: Protocol> Pool<P> {
     pub fn start(clock: Clock, protocol: P, terms: Terms, sockets: Rc<Sockets>) -> Rc<Self> {
         let places = RefCell::default();
-        let pool = Rc::new(Pool { clock, protocol, terms: Cell::new(terms), places, sockets });
+        let usual_dial = Cell::new(terms.connect_timeout / SLOW);
+        let pool = Rc::new(Pool { clock, protocol, terms: Cell::new(terms), places, sockets, usual_dial });
         let sweeper = pool.clone();
         spawn_local(async move {
             loop {
@@ -182,8 +219,9 @@
     fn sweep(&self) {
         let now = self.clock.now();
         for place in self.places.borrow_mut().values_mut() {
-            place.idle.retain(|(connection, since)| {
-                !P::is_closed(&connection.carrier) && now.saturating_sub(*since) < self.terms.get().idle_limit
+            place.idle.retain(|idle| {
+                !P::is_closed(&idle.connection.carrier)
+                    && now.saturating_sub(idle.since) < self.terms.get().idle_limit
             });
         }
         drop_gone(&mut self.places.borrow_mut());
@@ -224,18 +262,32 @@
         }
     }
 
-    /// Takes the most recently used idle connection, or whichever comes first: one that falls free or a
-    /// new one.
+    /// Takes the most recently used idle connection, or whichever comes first: one that has rested, one that falls free
+    /// or a new one.
     pub async fn take(self: &Rc<Self>, server: ServerId) -> Delivery<P> {
+        loop {
+            let rested = {
+                let mut places = self.places.borrow_mut();
+                let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
+                let now = self.clock.now();
+                if let Some(connection) = place.rested(now, self.terms.get().idle_limit) {
+                    return Ok(connection);
+                }
+                let Some(rested) = place.next_rested() else { break };
+                place.patient += 1;
+                rested
+            };
+            let _patient = Patient { pool: self, server };
+            sleep_until(self.clock.instant(rested)).await;
+        }
+        self.take_next(server).await
+    }
+
+    /// Waits for whichever comes first: a connection that falls free or a new one.
+    async fn take_next(self: &Rc<Self>, server: ServerId) -> Delivery<P> {
         let deliver = {
             let mut places = self.places.borrow_mut();
             let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
-            let now = self.clock.now();
-            while let Some((connection, since)) = place.idle.pop() {
-                if connection.is_usable() && now.saturating_sub(since) < self.terms.get().idle_limit {
-                    return Ok(connection);
-                }
-            }
             place.waiting.retain(|waiting| !waiting.is_closed());
             if place.dialling <= place.waiting.len() {
                 let address = place.address.ok_or(Outcome::NotSent)?;
@@ -249,8 +301,8 @@
                 places = self.places.borrow_mut();
                 let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
                 place.dialling += 1;
-                let pool = self.clone();
-                spawn_local(async move { pool.dial(server, address, epoch).await });
+                let (pool, until) = (self.clone(), Instant::now() + self.terms.get().connect_timeout);
+                spawn_local(async move { pool.dial(server, address, epoch, until, true).await });
             }
             let (waiting, deliver) = oneshot::channel();
             places.get_mut(&server).ok_or(Outcome::NotSent)?.waiting.push_back(waiting);
@@ -263,21 +315,39 @@
     fn close_longest_idle(&self) -> bool {
         let mut places = self.places.borrow_mut();
         let oldest = places.values_mut().filter(|place| !place.idle.is_empty());
-        let oldest = oldest.min_by_key(|place| place.idle.first().map(|(_, since)| *since));
+        let oldest = oldest.min_by_key(|place| place.idle.first().map(|idle| idle.since));
         oldest.map(|place| drop(place.idle.remove(0))).is_some()
     }
 
-    /// Opens a connection; its place among the open ones is taken already. Whoever waits for it is told that it
-    /// failed once its time is up; if it comes up a little later all the same, it has cost its backend a handshake
-    /// and serves the next request.
-    async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) {
-        let patience = self.terms.get().connect_timeout;
+    /// Opens a connection; its place among the open ones is taken already. Where it takes far longer than usual, a
+    /// second one is tried beside it. Whoever waits for it is told that it failed once its time is up; if it comes up a
+    /// little later all the same, it has cost its backend a handshake and serves the next request.
+    async fn dial(
+        self: Rc<Self>,
+        server: ServerId,
+        address: SocketAddr,
+        epoch: u64,
+        until: Instant,
+        first: bool,
+    ) {
+        let began = Instant::now();
         let mut opening = std::pin::pin!(self.opened(server, address, epoch));
-        if let Ok(opened) = timeout(patience, opening.as_mut()).await {
+        let slow = (began + self.usual_dial.get() * SLOW).min(until);
+        let mut opened = timeout_at(slow, opening.as_mut()).await;
+        if opened.is_err() {
+            if first && slow < until {
+                self.dial_beside(server, address, epoch, until);
+            }
+            opened = timeout_at(until, opening.as_mut()).await;
+        }
+        if let Ok(opened) = opened {
             let failed = match opened {
                 Ok(connection) => {
+                    // One observation's weight is an eighth: the last handful tell.
+                    self.usual_dial
+                        .set(self.usual_dial.get().mul_f64(0.875) + began.elapsed().mul_f64(0.125));
                     self.dialled(server);
-                    self.put(connection);
+                    self.give_back(connection);
                     Outcome::NotSent // it led to where the backend no longer is: no fault of the backend's
                 }
                 Err(outcome) => {
@@ -293,11 +363,28 @@
         if 2 * self.sockets.open.get() > self.sockets.most.get() {
             return;
         }
-        if let Ok(Ok(late)) = timeout(patience * LATE, opening).await {
-            self.put(late);
+        if let Ok(Ok(late)) = timeout(self.terms.get().connect_timeout * LATE, opening).await {
+            self.give_back(late);
         }
     }
 
+    /// Tries a second connection while somebody waits for the first, if descriptors are plenty.
+    fn dial_beside(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64, until: Instant) {
+        if 2 * self.sockets.open.get() > self.sockets.most.get() {
+            return;
+        }
+        let mut places = self.places.borrow_mut();
+        let Some(place) = places.get_mut(&server) else { return };
+        place.waiting.retain(|waiting| !waiting.is_closed());
+        if place.waiting.is_empty() || place.epoch != epoch {
+            return;
+        }
+        place.dialling += 1;
+        self.sockets.open.set(self.sockets.open.get() + 1);
+        let pool = self.clone();
+        spawn_local(async move { Box::pin(pool.dial(server, address, epoch, until, false)).await });
+    }
+
     async fn opened(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery<P> {
         // Counted until the connection counts itself, or there is none.
         let place = Open(self.sockets.clone());
@@ -336,21 +423,47 @@
         }
     }
 
-    /// Gives a free connection to whoever has waited longest, or keeps it: a dial that came too late serves
-    /// the next request.
-    pub fn put(&self, mut connection: Connection<P>) {
+    /// A connection whose answer has come: it rests, and then goes to whoever has waited longest.
+    pub fn put(self: &Rc<Self>, connection: Connection<P>) {
+        let (server, rested) = (connection.server, self.clock.now() + REST);
+        self.keep(connection, rested);
+        if self.places.borrow().get(&server).is_some_and(|place| !place.waiting.is_empty()) {
+            let pool = self.clone();
+            spawn_local(async move {
+                sleep_until(pool.clock.instant(rested)).await;
+                pool.hand_out(server);
+            });
+        }
+    }
+
+    /// A connection that has carried nothing since it was taken or opened.
+    pub fn give_back(&self, connection: Connection<P>) {
+        let server = connection.server;
+        self.keep(connection, Duration::ZERO);
+        self.hand_out(server);
+    }
+
+    fn keep(&self, connection: Connection<P>, rested: Duration) {
         let mut places = self.places.borrow_mut();
         let Some(place) = places.get_mut(&connection.server) else { return };
-        if !connection.is_usable() || connection.epoch != place.epoch {
-            return;
+        if connection.is_usable() && connection.epoch == place.epoch {
+            place.idle.push(Idle { connection, since: self.clock.now(), rested });
         }
-        while let Some(waiting) = place.waiting.pop_front() {
-            match waiting.send(Ok(connection)) {
-                Err(Ok(back)) => connection = back,
-                _ => return,
+    }
+
+    /// Gives what has rested to those who have waited longest for a dial: that one serves the next request.
+    fn hand_out(&self, server: ServerId) {
+        let mut places = self.places.borrow_mut();
+        let Some(place) = places.get_mut(&server) else { return };
+        let now = self.clock.now();
+        place.waiting.retain(|waiting| !waiting.is_closed());
+        while !place.waiting.is_empty() {
+            let Some(connection) = place.rested(now, self.terms.get().idle_limit) else { return };
+            let Some(waiting) = place.waiting.pop_front() else { return };
+            if let Err(Ok(back)) = waiting.send(Ok(connection)) {
+                place.idle.push(Idle { connection: back, since: now, rested: Duration::ZERO });
             }
         }
-        place.idle.push((connection, self.clock.now()));
     }
 
     /// Where a backend listens, if what is decided on may still be sent there: not past the grace.
@@ -362,6 +475,20 @@
     }
 }
 
+/// An attempt that waits until a connection has rested.
+struct Patient<'a, P: Protocol> {
+    pool: &'a Pool<P>,
+    server: ServerId,
+}
+
+impl<P: Protocol> Drop for Patient<'_, P> {
+    fn drop(&mut self) {
+        if let Some(place) = self.pool.places.borrow_mut().get_mut(&self.server) {
+            place.patient = place.patient.saturating_sub(1);
+        }
+    }
+}
+
 /// An attempt that waits for a connection. One that was delivered but not fetched goes back to the pool: it
 /// has cost its backend a handshake.
 struct Waiter<'a, P: Protocol> {
@@ -373,7 +500,7 @@
     fn drop(&mut self) {
         self.deliver.close();
         if let Ok(Ok(connection)) = self.deliver.try_recv() {
-            self.pool.put(connection);
+            self.pool.give_back(connection);
         }
     }
 }
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -128,17 +128,17 @@
             // Before the claim: what can't be worded was never begun.
             let Some(frame) = self.worded(call, seqid) else {
                 log_peer(format_args!("server {:x}: a call that can't be worded there", attempt.server.0));
-                self.pool.put(connection);
+                self.pool.give_back(connection);
                 return (Outcome::NotSent, None, None);
             };
             let Some(_room) = self.budget.lease(frame.capacity()) else {
                 log_peer("no room for a call's frame: not sent");
-                self.pool.put(connection);
+                self.pool.give_back(connection);
                 return (Outcome::NotSent, None, None);
             };
             let drained = self.pool.address(attempt.server).is_none();
             if drained || !call.claim(clock.now(), attempt.until) {
-                self.pool.put(connection);
+                self.pool.give_back(connection);
                 return (Outcome::NotSent, None, None);
             }
             if !write_whole(&line.stream, &frame).await {
