Nothing begins for a client that has left, and no close goes over unread bytes

Cause of the first: hyper reads no further than the next request's first bytes (mid-message, with its buffer not empty, it looks for no end), so a client that wrote more and left seemed to wait, and its call went out as soon as there was a backend or a repeat was due. Cause of the second: a connection was dropped right after the end of its sending. What comes after is read for up to a second and 1 MiB, and goes nowhere.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Tells whether whoever asked is still there to be answered, as of now.
+pub type Here = Rc<dyn Fn() -> bool>;
+
 /// Tells whether a body is an answer to a call at all.
 pub type Judge = Rc<dyn Fn(&[u8]) -> bool>;
 
@@ -75,6 +78,8 @@
     pub judge: Option<Judge>,
     /// Whether anybody waits for an answer. Where nobody does, the call is over once it may have run.
     pub answered: bool,
+    /// Where it can be asked whether the client is still there.
+    pub here: Option<Here>,
     /// When the client stops waiting; where the body is still coming, when it must have come.
     pub deadline: Cell<Duration>,
     /// How long backends remember a keyed request, from the first byte of the first attempt.
@@ -90,13 +95,16 @@
 impl Call {
     /// Whether an attempt may still be written at `now`: not past its time `until`, nor past the window in
     /// which backends drop its repeats, nor once the call has its answer, nor beside another attempt of a call
-    /// that nobody waits for. Time has passed since the decision: what was permitted then may not be any more.
-    /// If so, it counts as written from now on.
+    /// that nobody waits for, nor once its client has gone. Time has passed since the decision: what was permitted then
+    /// may not be any more. If so, it counts as written from now on.
     pub fn claim(&self, now: Duration, until: Duration) -> bool {
         let forgotten = self.window.zip(self.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
         if self.over.get() || now >= until || forgotten || (!self.answered && self.out.get() > 0) {
             return false;
         }
+        if self.here.as_ref().is_some_and(|here| !here()) {
+            return false; // the news of that is on its way to the node
+        }
         if self.first_byte.get().is_none() {
             self.first_byte.set(Some(now));
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,7 +17,7 @@
 mod witness;
 
 pub use attempt::{Attempt, Backends, Ended, Exchanged, ProbeEnded, Started, Stop, Task, run};
-pub use call::{Answer, Call, Content, Form, Judge, key_number};
+pub use call::{Answer, Call, Content, Form, Here, Judge, key_number};
 pub use dispatch::Dispatch;
 pub use flow::{Broken, Coming, Feed, Flow, Rest};
 pub use intake::{Intake, Taken};
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -156,7 +156,7 @@
             // Time has passed since the decision: what was permitted then may not be any more.
             let written = connection.carrier.written.clone();
             let Some(request) = self.request(attempt, &written) else {
-                self.pool.put(connection);
+                self.pool.give_back(connection);
                 return (Outcome::NotSent, None, None);
             };
             sent.claimed.set(true);
@@ -520,6 +520,7 @@
                 coming: None,
                 judge: None,
                 answered: true,
+                here: None,
                 deadline: Cell::new(now + MINUTE),
                 window: Some(MINUTE),
                 first_byte: Cell::new(None),
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -1,5 +1,6 @@
 //! The clients' side: keeps their connections, takes requests, and writes the final answers that the node gives.
 
+use crate::ahead::{Ahead, Inlet};
 use crate::heads::Heads;
 use crate::reply::Reply;
 use crate::request::{self, Arriving, Bad, First};
@@ -62,7 +63,7 @@
     ) -> Result<Response<Reply>, Infallible> {
         client.opened();
         let http_10 = request.version() < Version::HTTP_11;
-        let answer = self.handle(request, &heads).await;
+        let answer = self.handle(&client, request, &heads).await;
         // After what is malformed nobody can tell where the next request begins, nor after what was not read whole.
         let last = self.door.is_closing() || matches!(answer, Err(_) | Ok(Answered::Unread(_)));
         let mut response = match answer {
@@ -87,7 +88,12 @@
         Ok(response)
     }
 
-    async fn handle(&self, request: Request<Incoming>, heads: &Heads) -> Result<Answered, Bad> {
+    async fn handle(
+        &self,
+        client: &Rc<Client>,
+        request: Request<Incoming>,
+        heads: &Heads,
+    ) -> Result<Answered, Bad> {
         let (head, body) = request.into_parts();
         let site = self.live.get();
         let ready_asked = head.uri.path() == "/health/ready";
@@ -154,6 +160,10 @@
             coming,
             judge: None,
             answered: true,
+            here: Some({
+                let client = client.clone();
+                Rc::new(move || client.is_here())
+            }),
             deadline: Cell::new(at + if more { LONGEST_UPLOAD } else { request.budget }),
             window: request.window,
             first_byte: Cell::new(None),
@@ -218,23 +228,28 @@
 
 impl Serve for Front {
     async fn serve(self: Rc<Self>, stream: Stream, client: Rc<Client>) {
-        let heads = Rc::<Heads>::default();
+        let (heads, ahead) = (Rc::<Heads>::default(), Ahead::new(self.budget.clone()));
+        let kept = stream.again();
         let service = service_fn(|request| self.clone().respond(client.clone(), heads.clone(), request));
+        let inlet = Inlet { heads: heads.clone(), ahead: ahead.clone() };
         let connection = http1::Builder::new()
             // Its time-out would run on idle connections too: the door tells them apart.
             .header_read_timeout(None)
             .max_buf_size(READ_BUFFER)
-            .serve_connection(Socket(stream, heads.clone()), service);
-        let mut connection = std::pin::pin!(connection);
-        // Biased: a request that has come is read before the connection is told to close.
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => {}
-            () = client.told_to_close() => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+            .serve_connection(Socket(stream, inlet), service);
+        let mut connection = Box::pin(connection);
+        loop {
+            // Biased: a request that has come is read before the connection is told to close.
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => break,
+                () = client.told_to_close() => connection.as_mut().graceful_shutdown(),
+                // With it goes what is open.
+                () = ahead.left(&kept, &client) => return,
             }
         }
+        drop(connection);
+        client.part(kept).await;
     }
 }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1: the clients' side, the backends' side and what their messages must be.
 #![forbid(unsafe_code)]
 
+mod ahead;
 mod backend;
 mod front;
 mod heads;
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -8,17 +8,26 @@
 use std::task::{Context, Poll, ready};
 
 /// The most that one read takes in.
-const CHUNK: usize = 8 * 1024;
+pub const CHUNK: usize = 8 * 1024;
 
 thread_local! {
     /// What one read takes in, on its way to hyper: used within a poll alone.
     static CHUNKS: RefCell<[u8; CHUNK]> = const { RefCell::new([0; CHUNK]) };
 }
 
+/// Lends what one read takes in.
+pub fn with_chunk<T>(act: impl FnOnce(&mut [u8; CHUNK]) -> T) -> T {
+    CHUNKS.with_borrow_mut(act)
+}
+
 /// Whoever watches what goes over a stream.
 pub trait Watch {
     /// These bytes have come.
     fn came(&self, _: &[u8]) {}
+    /// Puts in what was read before hyper asked, and says how much.
+    fn early(&self, _: &mut [u8]) -> usize {
+        0
+    }
     /// All that hyper held has been written.
     fn flushed(&self) {}
 }
@@ -35,9 +44,12 @@
         mut to: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // Clean bytes for each read, and for each look that finds none, cost more than the read.
-        CHUNKS.with_borrow_mut(|chunk| {
+        with_chunk(|chunk| {
             let most = to.remaining().min(CHUNK);
-            let count = ready!(self.0.poll_read(cx, &mut chunk[..most]))?;
+            let count = match self.1.early(&mut chunk[..most]) {
+                0 => ready!(self.0.poll_read(cx, &mut chunk[..most]))?,
+                early => early,
+            };
             self.1.came(&chunk[..count]);
             to.put_slice(&chunk[..count]);
             Poll::Ready(Ok(()))
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -6,7 +6,7 @@
 use sillward_log::{log, log_peer};
 use sillward_seam::net::{TcpListener, TcpStream};
 use sillward_seam::task::spawn_local;
-use sillward_seam::time::{Instant, sleep, timeout};
+use sillward_seam::time::{Instant, sleep, timeout, timeout_at};
 use sillward_seam::{Clock, Handle, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -31,6 +31,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection that was told to close, and has no request open, is closed from here after that.
 pub const LINGER: Duration = Duration::from_secs(1);
+/// So much is read on a connection that has had its last word.
+const MOST_PAST: usize = 1 << 20;
+const PAST_CHUNK: usize = 2048;
 /// How often a process that is not ready looks whether it is.
 const LISTED_LOOK: Duration = Duration::from_millis(10);
 /// How often connections are looked over for these times.
@@ -80,6 +83,30 @@
         self.socket.is_quiet()
     }
 
+    /// Whether a request is open.
+    pub fn is_open(&self) -> bool {
+        self.stage.get() == Stage::Open
+    }
+
+    /// Whether it is still there to be answered, as of now. One that has ended its sending has gone.
+    pub fn is_here(&self) -> bool {
+        !self.socket.has_ended()
+    }
+
+    /// This side has said its last word. What still comes is read and counts for nothing, for a moment: closed over bytes
+    /// that nobody read, the connection would be reset, and what its client has not read of the last answer lost.
+    pub async fn part(&self, stream: Stream) {
+        self.stage.set(Stage::Closing(Instant::now()));
+        let _ = stream.shut_write(); // it may be shut already, or broken
+        let (until, mut past, mut chunk) = (Instant::now() + LINGER, 0, vec![0; PAST_CHUNK]);
+        while let Ok(Ok(count)) = timeout_at(until, stream.read(&mut chunk)).await {
+            past += count;
+            if count == 0 || past > MOST_PAST {
+                return;
+            }
+        }
+    }
+
     /// Waits until the connection is to end when it can. Returns once for each time that it is told.
     pub async fn told_to_close(&self) {
         self.close.notified().await;
