A cold server's part follows from the bound of the rule, and no probe goes to one

Now no probe goes to a cold server; the aim lies six roots of its mean below the bound, for the sum of the nodes that share the server; where none is warm, what one carried before bounds it. A connection that only took too long is a failure like others; turned down twice in a row, nobody is there. A call for the list that failed is followed by another within half a second, where waits grew to five.

--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -27,10 +27,18 @@
 const FEW: f64 = 6.0;
 /// An attempt is silent after so many times the median answer: for exponential answer times one in sixteen.
 const SILENT: f64 = 4.0;
-/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
-const COLD_SPEND: f64 = 0.4;
+/// The most of the cold rule's allowance that is aimed at, and how many roots of its mean below the bound the aim lies.
+const COLD_SPEND: f64 = 0.75;
+const COLD_ROOTS: f64 = 6.0;
+/// A node that had nothing to send saves its part up for so much of the time in which a cold server is judged.
+const COLD_SAVED: f64 = 0.5;
+/// Of what arrives, where it is not known what a warm server carries: more may arrive than all can carry.
+const COLD_START: f64 = 0.5;
 /// The longest body at the least rate takes less.
 const ARRIVES: Duration = Duration::from_secs(1200);
+/// A call for the list that failed is made again after so long at the most: what the list has counts as told within
+/// seconds of when it could be had, whatever calls failed before.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
--- a/crates/hillpick/src/policy/cold.rs
+++ b/crates/hillpick/src/policy/cold.rs
@@ -12,31 +12,53 @@
         (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
     }
 
-    /// Rule 4: a cold server is sent a request for a ticket. All nodes' answers from a warm server add up to
-    /// less than its capacity, so tickets come at a multiple of own answers from one: by chance and for a
-    /// short time, since what hundreds of quiet nodes save up can be spent in one burst.
+    /// Rule 4: a cold server is sent a request for a ticket, by chance and for a short time. All nodes' answers from a
+    /// warm server add up to less than its capacity, so tickets that come at a multiple of own answers from one add up to
+    /// less than that multiple of it, whatever part of the traffic each node sees; what hundreds of quiet nodes save up
+    /// could be spent in one burst, so no more is saved than the rest of the bound holds.
     pub(super) fn draw_tickets(&mut self) {
         let (rules, now) = (self.settings.rules, self.now);
         let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
         let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
-        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
+        if cold.is_empty() {
+            return;
+        }
+        let part = self.carried_by_one();
         for id in cold {
-            let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
-            let (chance, span) = (self.random(), rules.overload_time / 2);
+            let capacity = rules.overload_factor * self.warmth(&self.servers[&id]);
+            let rate = capacity * part * self.cold_spend(capacity * part);
+            let (chance, span) = (self.random(), rules.overload_time.mul_f64(COLD_SAVED));
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
             let won = chance < 1.0 - (-rate * since).exp();
-            server.ticket = if server.ticket <= now && won { now + span } else { server.ticket };
+            server.ticket =
+                if server.ticket <= now && won { now + rules.overload_time / 2 } else { server.ticket };
             server.drawn = now;
         }
     }
 
-    /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
-    pub(super) fn carried_by_one(&self) -> f64 {
+    /// The part of what the cold rule allows that all nodes together aim at, `own` being this node's part of the whole a
+    /// second. Draws that know nothing of each other add up to a Poisson count, and the rule puts 2 root of N + 2 calls
+    /// down to chance: the aim lies so many of its own roots below that bound that a break is one in a million.
+    fn cold_spend(&self, own: f64) -> f64 {
+        let sharing = f64::from(self.settings.nodes) * self.enough() as f64 / self.order.len().max(1) as f64;
+        let allowed = own * sharing.max(1.0) * self.settings.rules.overload_time.as_secs_f64();
+        let bound = allowed + 2.0 * allowed.sqrt() + 2.0;
+        let aim = ((bound + COLD_ROOTS * COLD_ROOTS / 4.0).sqrt() - COLD_ROOTS / 2.0).powi(2);
+        (aim / allowed.max(1e-9)).min(COLD_SPEND)
+    }
+
+    /// What a warm server carries for this node a second. If none is warm, an even part of what arrives: calls that were
+    /// turned away come again, so no more than half as much again as one carried when it was warm.
+    pub(super) fn carried_by_one(&mut self) -> f64 {
         let near = self.enough().min(self.order.len());
         let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
-        let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
-        total.per_s(self.now, self.memory()) / by as f64
+        if warm > 0 {
+            self.carried_warm = Some(self.carried.per_s(self.now, self.memory()) / warm as f64);
+            return self.carried_warm.unwrap_or_default();
+        }
+        let arrives = self.arrived.per_s(self.now, self.memory()) / near.max(1) as f64;
+        self.carried_warm.map_or(arrives * COLD_START, |carried| arrives.min(1.5 * carried))
     }
 
     /// Rates are taken over a few of the spans in which a cold server is judged.
--- a/crates/hillpick/src/policy/health.rs
+++ b/crates/hillpick/src/policy/health.rs
@@ -44,7 +44,7 @@
                 }
                 self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
-            Outcome::ConnectFailed => self.unreached(end.server),
+            Outcome::ConnectFailed => self.unreached(end.server, end.elapsed),
             _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset) => {
                 self.judge(end.server, 1.0, SMOOTH * 2.0)
             }
@@ -73,14 +73,15 @@
     }
 
     /// A connection was not to be had. Once that may be chance, as one that comes up late or breaks while it
-    /// is written to: then it says no more than another failure. Again, with no answer in between, nobody is
-    /// there.
-    pub(super) fn unreached(&mut self, id: ServerId) {
+    /// is written to: then it says no more than another failure. Turned down again, with no answer in between, nobody
+    /// is there; one that only took too long may yet come up, however often, and stays a failure like others.
+    pub(super) fn unreached(&mut self, id: ServerId, took: Duration) {
+        let late = took >= self.settings.limits.connect_timeout;
         let Some(server) = self.servers.get_mut(&id) else { return };
         let again = std::mem::replace(&mut server.unreached, true);
         // It is not among what was sent there: else nothing would find out whether it was chance.
         server.count -= if again { 0 } else { server.count.min(1) };
-        self.judge(id, 1.0, if again { 1.0 } else { SMOOTH * 2.0 });
+        self.judge(id, 1.0, if again && !late { 1.0 } else { SMOOTH * 2.0 });
     }
 
     /// Takes a sign of a server's health: 1 for a failure, 0 for an answer, 1/2 for a tight one.
--- a/crates/hillpick/src/policy/lists.rs
+++ b/crates/hillpick/src/policy/lists.rs
@@ -5,14 +5,14 @@
 impl Balancer {
     pub(super) fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
-            let within = self.settings.rules.ask_within;
-            self.ask_wait = (2 * self.ask_wait).clamp(within / 16, within / 2);
+            self.ask_wait = (2 * self.ask_wait).clamp(ASK_AGAIN / 4, ASK_AGAIN);
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
         }
         if kind != ListKind::Cached {
             (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
         }
+        self.carried_by_one(); // remembered, should this list say that all have started anew
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
         let count =
@@ -45,6 +45,7 @@
             actions.push(Action::Subscribe { on: true });
             self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
         }
-        actions.push(Action::SetTimer { after: self.settings.rules.ask_within / 64, token: TICK });
+        let after = (self.settings.rules.ask_within / 64).min(ASK_AGAIN / 8);
+        actions.push(Action::SetTimer { after, token: TICK });
     }
 }
--- a/crates/hillpick/src/policy/selection.rs
+++ b/crates/hillpick/src/policy/selection.rs
@@ -104,7 +104,9 @@
         let fitting = self.uncrowded(fits);
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
-        let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
+        // A probe is work like a request's: a cold server's part is for requests.
+        let unknown =
+            |s: &&&Server| ask && !s.probing && self.warmth(s) >= 1.0 && self.fresh_load(s).is_none();
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
         // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
         match below {
@@ -160,7 +162,7 @@
         self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         if end.outcome == Outcome::ConnectFailed {
-            self.unreached(end.server);
+            self.unreached(end.server, end.elapsed);
         }
         self.probes_out = self.probes_out.saturating_sub(1);
         let last = self.probes_out == 0;
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -127,6 +127,8 @@
     pub(crate) probes_out: u32,
     /// Smoothed time of an answer, and hinted work of a request, in seconds.
     pub(crate) answer_time: f64,
+    /// What a warm server carried for this node a second, when there last was one.
+    pub(crate) carried_warm: Option<f64>,
     /// The median time of an answer, in seconds.
     pub(crate) median: f64,
     /// Smoothed share of failed attempts at all servers.
@@ -173,6 +175,7 @@
             held: Default::default(),
             probes_out: Default::default(),
             answer_time: Default::default(),
+            carried_warm: None,
             median: Default::default(),
             failing: Default::default(),
             usual_cost: Default::default(),
