What discovery has is told within 6 s of when it can be reached, whatever calls failed

Cause: silence of 5 s was looked for at each step, and pauses grew to 2 s: a silent watch and one call that hangs came to 11.5 s where lists are pushed, 10.1 s where they are asked for, and a refused call there to 6.5 s. Now 2.5 s between whole lines (bytes without a line put nothing off), 0.6 s to a pushed head, 2.1 s to an asked one, 2.9 s to its first line, pauses of 0.25 s at the most, jittered. A list may be broken into lines anywhere; what is malformed is asked for again from before it, where a drain in it was lost for good; a list older than the one held is not taken in unless three calls in a row bring one. A known list counts by its entries, not its version.

--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -1,23 +1,31 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
+//!
+//! What discovery has is told within [`TOLD_WITHIN`] of when it had it and could be reached, whatever calls failed on the
+//! way: each step of a call has a time of its own, from its own start, and pauses between calls do not grow beyond the
+//! room that these leave.
 #![forbid(unsafe_code)]
 
-use bytes::{Bytes, BytesMut};
-use hillpick::settings::{Site, millis};
-use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
+mod entries;
+pub mod lines;
+
+pub use entries::read_entry;
+
+use bytes::Bytes;
+use entries::List;
+use hillpick::ListKind;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde_json::Value;
+use lines::{Item, LIST_LIMIT, Lines};
 use sillward_core::{Backend, Live, Message, News, Order};
-use sillward_log::log;
+use sillward_log::{log, log_peer};
 use sillward_seam::net::TcpStream;
 use sillward_seam::random::Random;
 use sillward_seam::task::{JoinHandle, spawn_local};
-use sillward_seam::time::{Instant, sleep, timeout};
+use sillward_seam::time::{Instant, sleep, timeout_at};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,53 +33,30 @@
 use tokio::sync::{mpsc, watch};
 
 const LIST: &str = "/registry/instances";
-/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(5);
-/// The longest list or line that is taken in.
-const LINE_LIMIT: usize = 4 << 20;
+/// What discovery has counts as told so long after it had it and could be reached.
+pub const TOLD_WITHIN: Duration = Duration::from_secs(6);
+/// A watch says something every 2 s: one without a whole line for so long is broken, whatever TCP says, and however many
+/// bytes trickle in.
+pub const BETWEEN_LINES: Duration = Duration::from_millis(2500);
+/// An agent on the node's own machine answers at once.
+pub const PUSHED_HEAD: Duration = Duration::from_millis(600);
+/// Discovery that is asked works through calls in turn, and lets none wait for more than 2 s.
+pub const ASKED_HEAD: Duration = Duration::from_millis(2100);
+/// From a call's start to its first whole line, where lists are asked for.
+pub const ASKED_LINE: Duration = Duration::from_millis(2900);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Between two calls that failed at the most: the steps above and two of these stay below [`TOLD_WITHIN`], with room for the
+/// call that succeeds.
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+/// What came after a malformed list is taken in for so long; then the list is asked for anew, since a change may have been
+/// in what was dropped.
+const GAP: Duration = Duration::from_secs(1);
+/// A list that is older than the one held is taken for another's mistake, unless so many calls in a row bring one: then
+/// discovery itself has gone back.
+const OLDER_IN_A_ROW: u32 = 3;
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
-#[derive(Deserialize)]
-struct List {
-    #[serde(default)]
-    index: u64,
-    #[serde(default)]
-    snapshot: bool,
-    endpoints: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Line {
-    name: String,
-    address: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default, rename = "type")]
-    kind: String,
-    #[serde(default)]
-    group: u16,
-    status: Status,
-    #[serde(default = "one")]
-    weight: f32,
-    #[serde(default)]
-    since_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Status {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-fn one() -> f32 {
-    1.0
-}
-
 pub struct Discovery {
     address: SocketAddr,
     live: Rc<Live>,
@@ -79,8 +64,12 @@
     known: Option<String>,
     random: Random,
     ready: Rc<Cell<bool>>,
-    /// The version of the list that the node has.
+    /// The version from which on changes are asked for.
     index: u64,
+    /// The version that this discovery has told: 0 before it has told any.
+    held: u64,
+    /// Calls in a row that brought a list older than that.
+    older: u32,
 }
 
 impl Discovery {
@@ -100,6 +89,8 @@
             random: Random::seeded(!seed),
             ready: Rc::default(),
             index: 0,
+            held: 0,
+            older: 0,
         }
     }
 
@@ -111,21 +102,31 @@
     /// Keeps the list fresh, from `moved`'s address whenever that changes.
     pub async fn run(mut self, orders: mpsc::Receiver<Order>, moved: watch::Receiver<SocketAddr>) {
         if let Some(known) = self.known.take() {
-            self.take(known.as_bytes(), Some(ListKind::Cached)).await;
+            let some = match self.take(known.as_bytes(), Some(ListKind::Cached)).await {
+                Ok(some) => some,
+                Err(Unusable::Malformed(what) | Unusable::Older(what)) => {
+                    log(format_args!("the configuration's known list was dropped: {what}"));
+                    0
+                }
+            };
             // It may be old: the first call may still bring a newer one before clients come.
-            let (ready, some) = (self.ready.clone(), self.index > 0);
+            let ready = self.ready.clone();
             spawn_local(async move {
                 sleep(READY_AFTER).await;
-                ready.set(ready.get() || some);
+                ready.set(ready.get() || some > 0);
             });
         }
-        if self.live.get().settings.list_on_request {
+        if self.is_asked() {
             self.obey(orders, moved).await;
         } else {
             self.follow(moved).await;
         }
     }
 
+    fn is_asked(&self) -> bool {
+        self.live.get().settings.list_on_request
+    }
+
     /// Lists are pushed: watches for good. A broken watch is no news, the list stays as it is.
     async fn follow(&mut self, mut moved: watch::Receiver<SocketAddr>) {
         let mut pause = FIRST_PAUSE;
@@ -140,9 +141,9 @@
                     continue;
                 }
             };
-            let lasted = opened.elapsed() > LONGEST_PAUSE;
+            let lasted = opened.elapsed() > BETWEEN_LINES;
             pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-            log(format_args!("the watch broke: {broken}"));
+            log(format_args!("the watch of {} broke: {broken}", self.address));
             let jittered = self.jittered(pause);
             tokio::select! {
                 biased;
@@ -160,25 +161,26 @@
         // What the module asked for, and whether there is a watch: it learns of a broken one and asks anew.
         let (mut wanted, mut watching) = (false, false);
         loop {
-            let watch = async { if watching { self.watch().await } else { std::future::pending().await } };
-            let order = tokio::select! {
-                biased;
-                order = orders.recv() => order,
-                address = next(&mut moved) => {
-                    self.turn_to(address);
-                    watching = wanted;
-                    continue;
-                }
-                broken = watch => {
-                    log(format_args!("the watch broke: {broken}"));
-                    watching = false;
-                    self.tell(ListKind::Failed, Vec::new()).await;
-                    continue;
+            let turn = {
+                let watch =
+                    async { if watching { self.watch().await } else { std::future::pending().await } };
+                let mut watch = std::pin::pin!(watch);
+                loop {
+                    tokio::select! {
+                        biased;
+                        order = orders.recv() => match order {
+                            // A watch that is being opened or open is what was asked for: to begin anew would lose it.
+                            Some(Order::Subscribe(true)) if watching => {}
+                            order => break Turn::Ordered(order),
+                        },
+                        address = next(&mut moved) => break Turn::Moved(address),
+                        broken = watch.as_mut() => break Turn::Broken(broken),
+                    }
                 }
             };
-            match order {
-                Some(Order::Subscribe(on)) => (wanted, watching) = (on, on),
-                Some(Order::Fetch) => loop {
+            match turn {
+                Turn::Ordered(Some(Order::Subscribe(on))) => (wanted, watching) = (on, on),
+                Turn::Ordered(Some(Order::Fetch)) => loop {
                     let fetched = tokio::select! {
                         biased;
                         fetched = self.fetch() => fetched,
@@ -189,12 +191,21 @@
                         }
                     };
                     if let Err(broken) = fetched {
-                        log(format_args!("the list did not come: {broken}"));
+                        log(format_args!("the list of {} did not come: {broken}", self.address));
                         self.tell(ListKind::Failed, Vec::new()).await;
                     }
                     break;
                 },
-                None => return,
+                Turn::Ordered(None) => return,
+                Turn::Moved(address) => {
+                    self.turn_to(address);
+                    watching = wanted;
+                }
+                Turn::Broken(broken) => {
+                    log(format_args!("the watch of {} broke: {broken}", self.address));
+                    watching = false;
+                    self.tell(ListKind::Failed, Vec::new()).await;
+                }
             }
         }
     }
@@ -202,7 +213,7 @@
     /// Discovery is elsewhere from now on. The list stays until that has told the whole of its own, whose
     /// versions need not be the old one's.
     fn turn_to(&mut self, address: SocketAddr) {
-        (self.address, self.index) = (address, 0);
+        (self.address, self.index, self.held, self.older) = (address, 0, 0, 0);
     }
 
     /// Between half and all of it, so that nodes whose watches broke together do not call together.
@@ -211,11 +222,14 @@
     }
 
     async fn fetch(&mut self) -> Result<(), String> {
+        let due = Instant::now() + ASKED_LINE;
         let (response, _connection) = self.get(LIST).await?;
-        let body = timeout(SILENCE, Limited::new(response.into_body(), LINE_LIMIT).collect()).await;
+        let body = timeout_at(due, Limited::new(response.into_body(), LIST_LIMIT).collect()).await;
         let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
-        self.take(&body.to_bytes(), Some(ListKind::Full)).await;
-        Ok(())
+        match self.take(&body.to_bytes(), Some(ListKind::Full)).await {
+            Ok(_) => Ok(()),
+            Err(Unusable::Malformed(what) | Unusable::Older(what)) => Err(what),
+        }
     }
 
     /// Watches until that breaks; returns why.
@@ -227,28 +241,52 @@
     }
 
     async fn lines(&mut self) -> Result<(), String> {
+        let first_line = if self.is_asked() { ASKED_LINE } else { BETWEEN_LINES };
+        let mut due = Instant::now() + first_line;
         let (response, _connection) = self.get(&format!("{LIST}?stream=1&index={}", self.index)).await?;
-        let mut body = response.into_body();
-        let mut unread = BytesMut::new();
-        while let Some(frame) = timeout(SILENCE, body.frame()).await.map_err(|_| "silent")? {
+        let (mut body, mut lines) = (response.into_body(), Lines::default());
+        // Since when something is missing that a malformed list may have held.
+        let mut gap = None;
+        loop {
+            let until = gap.map_or(due, |since: Instant| due.min(since + GAP));
+            let frame = timeout_at(until, body.frame()).await;
+            let Ok(frame) = frame else {
+                let why = if gap.is_some() { "a list on it was malformed" } else { "silent" };
+                return Err(why.to_owned());
+            };
+            let Some(frame) = frame else { return Ok(()) };
             let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
-            // Only what is new can hold the end of a line.
-            let mut searched = unread.len();
-            unread.extend_from_slice(&data);
-            while let Some(end) = unread[searched..].iter().position(|byte| *byte == b'\n') {
-                let line = unread.split_to(searched + end + 1);
-                searched = 0;
-                if !line.trim_ascii().is_empty() {
-                    self.take(&line, None).await;
-                }
+            lines.push(&data);
+            while let Some(item) = lines.next_item() {
+                due = Instant::now() + BETWEEN_LINES;
+                let before = self.index;
+                let fault = match item {
+                    Item::Empty => continue,
+                    Item::Text(text) => match self.take(&text, None).await {
+                        Ok(_) => {
+                            // What follows a gap does not close it: changes are asked for from before it.
+                            self.index = if gap.is_some() { before } else { self.index };
+                            continue;
+                        }
+                        Err(Unusable::Older(what)) => return Err(what),
+                        Err(Unusable::Malformed(fault)) => fault,
+                    },
+                    Item::Broken(bytes) => format!("it broke off after {bytes} bytes"),
+                };
+                log_peer(format_args!("a malformed list of {} was dropped: {fault}", self.address));
+                gap.get_or_insert_with(Instant::now);
             }
-            if unread.len() > LINE_LIMIT {
+            if lines.is_endless() {
                 return Err("a line without end".to_owned());
             }
+            // Bytes are no line: however they trickle, they put nothing off.
+            if Instant::now() >= due {
+                return Err("a line that did not end".to_owned());
+            }
         }
-        Ok(())
     }
 
+    /// Asks discovery, and returns once the head of its answer is here.
     async fn get(&self, path: &str) -> Result<(Response<Incoming>, Connection), String> {
         let call = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
@@ -265,29 +303,48 @@
                 status => Err(format!("answered {status}")),
             }
         };
-        timeout(SILENCE, call).await.map_err(|_| "silent")?
+        let head = if self.is_asked() { ASKED_HEAD } else { PUSHED_HEAD };
+        timeout_at(Instant::now() + head, call).await.map_err(|_| "silent before its head")?
     }
 
-    /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
-    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) {
-        let list: List = match serde_json::from_slice(text) {
-            Ok(list) => list,
-            Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
-        };
+    /// Takes in a list, and says how many entries of it could be read: what is malformed is dropped, an entry of it alone
+    /// where the rest can be read.
+    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) -> Result<usize, Unusable> {
+        let list: List = serde_json::from_slice(text).map_err(|e| Unusable::Malformed(e.to_string()))?;
         let (mut backends, site) = (Vec::new(), self.live.get());
+        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+        let kind = kind.unwrap_or(listed);
+        if kind != ListKind::Cached && list.index < self.held {
+            self.older += 1;
+            if self.older < OLDER_IN_A_ROW {
+                let what = format!("a list of version {}, older than {}", list.index, self.held);
+                return Err(Unusable::Older(what));
+            }
+            log(format_args!("discovery at {} has gone back to version {}", self.address, list.index));
+        }
         for line in list.endpoints {
-            match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| read(&site, line)) {
+            match serde_json::from_value(line)
+                .map_err(|e| e.to_string())
+                .and_then(|line| entries::read(&site, line))
+            {
                 Ok(backend) => backends.push(backend),
-                Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
+                Err(e) => {
+                    log_peer(format_args!(
+                        "a malformed line of the list of {} was dropped: {e}",
+                        self.address
+                    ));
+                }
             }
         }
-        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
-        let kind = kind.unwrap_or(listed);
+        let read = backends.len();
         self.tell(kind, backends).await;
         // Only now: a watch that is dropped before has not told the node, and must be told again.
         self.index = list.index;
-        self.ready
-            .set(self.ready.get() || kind != ListKind::Cached || self.live.get().settings.list_on_request);
+        if kind != ListKind::Cached {
+            (self.held, self.older) = (list.index, 0);
+        }
+        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.is_asked());
+        Ok(read)
     }
 
     async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
@@ -295,35 +352,19 @@
     }
 }
 
-/// Reads a line of the list by itself, in discovery's entry form.
-///
-/// # Errors
-/// The text is no such line, or names a zone that the settings don't know.
-pub fn read_entry(site: &Site, text: &[u8]) -> Result<Backend, String> {
-    serde_json::from_slice(text).map_err(|e| e.to_string()).and_then(|line| read(site, line))
+/// Why a list was not taken in.
+enum Unusable {
+    /// It is no list.
+    Malformed(String),
+    /// It is older than the one held.
+    Older(String),
 }
 
-fn read(site: &Site, line: Line) -> Result<Backend, String> {
-    let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-    let zone = if line.zone.is_empty() { Some(0) } else { place(&site.zone_names, &line.zone) };
-    let zone = zone.and_then(|zone| u8::try_from(zone).ok());
-    // A new kind of machine serves like any other, but the zone decides where repeats may go.
-    let kind = place(&site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
-    let state = match line.status {
-        Status::InService => ServerState::Ready,
-        Status::Terminating => ServerState::Draining,
-        Status::Terminated => ServerState::Gone,
-    };
-    let entry = ServerEntry {
-        id: number(&line.name),
-        zone: zone.ok_or_else(|| format!("{}: unknown zone {}", line.name, line.zone))?,
-        kind: kind.unwrap_or(u8::MAX),
-        cell: line.group,
-        state,
-        weight: line.weight,
-        started: (line.since_ms > 0.0).then(|| millis(line.since_ms)),
-    };
-    Ok(Backend { entry, address: line.address })
+/// What ended the wait for a watch or for an order.
+enum Turn {
+    Ordered(Option<Order>),
+    Moved(SocketAddr),
+    Broken(String),
 }
 
 /// The next address that discovery moves to.
@@ -334,13 +375,6 @@
     }
 }
 
-/// A backend's number: made from its name alone, so that it is the same at every node (FNV-1a).
-fn number(name: &str) -> ServerId {
-    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    }))
-}
-
 /// A connection to discovery, which closes when it is dropped.
 struct Connection(JoinHandle<()>);
 
