--- a/tests/races.rs
+++ b/tests/races.rs
@@ -337,3 +337,42 @@
 }
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// ---- The start ----------------------------------------------------------------------------------
+
+/// Clients connect and write in every moment round the one in which the process binds and listens: each connection is turned
+/// down or answered.
+#[test]
+fn a_request_that_comes_as_the_process_begins_to_listen_is_turned_down_or_answered() {
+    let backend = Backend::start(|_| ok("known"));
+    let known = entry("s-0", backend.address, "in_service");
+    for _ in 0..5 {
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port");
+        let down = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port");
+        let config = config(down, &settings(LONG, ""), 1024).replace("127.0.0.1:0", &free.to_string());
+        let config = config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]"));
+        let clients = std::thread::spawn(move || {
+            let (mut taken, end) = (Vec::new(), Instant::now() + PATIENCE);
+            while taken.len() < 60 && Instant::now() < end {
+                let Ok(mut client) = TcpStream::connect(free) else { continue };
+                // To itself, where a port was free that both ends may have.
+                if client.local_addr().is_ok_and(|own| own == free) {
+                    continue;
+                }
+                client.write_all(read().as_bytes()).expect("it was accepted");
+                taken.push(client);
+            }
+            taken
+        });
+        let node = Node::start(&config, "");
+        let taken = clients.join().expect("the clients");
+        assert_eq!(taken.len(), 60);
+        for mut client in taken {
+            client.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            let mut answer = [0; 12];
+            client.read_exact(&mut answer).expect("an answer");
+            assert_eq!(&answer, b"HTTP/1.1 200");
+        }
+        drop(node);
+    }
+}
