Read once more: one way to part with a client, no list sorted, one reader of what is carried

Cause: the Thrift front had its own reading past the end of sending, which the HTTP front got written again; two constants for the same 1 MiB; resting connections were sorted at each wait though they fall idle in that order; a question about what a warm server carries changed what was remembered as it was asked. Change: both fronts part by Client::part, which bounds bytes too; the order is used as it stands; carried_by_warm only asks, and only a list, by which alone all can become cold, remembers. No assertion changed.

--- a/crates/hillpick/src/policy/cold.rs
+++ b/crates/hillpick/src/policy/cold.rs
@@ -24,7 +24,7 @@
         if cold.is_empty() {
             return;
         }
-        let part = self.carried_by_one();
+        let part = self.carried_by_warm().unwrap_or_else(|| self.part_of_arrivals());
         for id in cold {
             let capacity = rules.overload_factor * self.warmth(&self.servers[&id]);
             let rate = capacity * part * self.cold_spend(capacity * part);
@@ -50,16 +50,16 @@
         (aim / allowed.max(1e-9)).min(COLD_SPEND)
     }
 
-    /// What a warm server carries for this node a second. If none is warm, an even part of what
-    /// arrives: calls that were turned away come again, so no more than half as much again as one
-    /// carried when it was warm.
-    pub(super) fn carried_by_one(&mut self) -> f64 {
+    /// What a warm server carries for this node a second, if one is warm.
+    pub(super) fn carried_by_warm(&self) -> Option<f64> {
+        let warm = self.ring().take(self.enough()).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
+        (warm > 0).then(|| self.carried.per_s(self.now, self.memory()) / warm as f64)
+    }
+
+    /// An even part of what arrives, where no server is warm. Calls that were turned away come
+    /// again, so no more than half as much again as one carried when it was.
+    fn part_of_arrivals(&self) -> f64 {
         let near = self.enough().min(self.order.len());
-        let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
-        if warm > 0 {
-            self.carried_warm = Some(self.carried.per_s(self.now, self.memory()) / warm as f64);
-            return self.carried_warm.unwrap_or_default();
-        }
         let arrives = self.arrived.per_s(self.now, self.memory()) / near.max(1) as f64;
         self.carried_warm.map_or(arrives * COLD_START, |carried| arrives.min(1.5 * carried))
     }
--- a/crates/hillpick/src/policy/lists.rs
+++ b/crates/hillpick/src/policy/lists.rs
@@ -12,7 +12,8 @@
         if kind != ListKind::Cached {
             (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
         }
-        self.carried_by_one(); // remembered, should this list say that all have started anew
+        // Should this list say that all have started anew.
+        self.carried_warm = self.carried_by_warm().or(self.carried_warm);
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
         let count =
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use sillward_core::{Answer, Budget, Call, Coming, Content, Feed, Intake, Live, READ_BUFFER};
-use sillward_listener::{Client, Door, LINGER, Life, Serve};
+use sillward_listener::{Client, Door, LINGER, Life, READ_PAST, Serve};
 use sillward_log::log_peer;
 use sillward_metrics::{Counters, End};
 use sillward_seam::Stream;
@@ -26,8 +26,6 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// How much of a body is read on after its request was turned down.
-const READ_PAST: usize = 1 << 20;
 /// A body takes so long at the most: 32 MiB at the least rate, and what a slow backend adds.
 const LONGEST_UPLOAD: Duration = Duration::from_secs(1200);
 
@@ -249,7 +247,7 @@
             }
         }
         drop(connection);
-        client.part(kept).await;
+        client.part(&kept).await;
     }
 }
 
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -31,8 +31,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection that was told to close, and has no request open, is closed from here after that.
 pub const LINGER: Duration = Duration::from_secs(1);
-/// So much is read on a connection that has had its last word.
-const MOST_PAST: usize = 1 << 20;
+/// So much is read past what is still served: a rest that counts for nothing.
+pub const READ_PAST: usize = 1 << 20;
 const PAST_CHUNK: usize = 2048;
 /// How often a process that is not ready looks whether it is.
 const LISTED_LOOK: Duration = Duration::from_millis(10);
@@ -95,13 +95,13 @@
 
     /// This side has said its last word. What still comes is read and counts for nothing, for a moment: closed over bytes
     /// that nobody read, the connection would be reset, and what its client has not read of the last answer lost.
-    pub async fn part(&self, stream: Stream) {
+    pub async fn part(&self, stream: &Stream) {
         self.stage.set(Stage::Closing(Instant::now()));
         let _ = stream.shut_write(); // it may be shut already, or broken
         let (until, mut past, mut chunk) = (Instant::now() + LINGER, 0, vec![0; PAST_CHUNK]);
         while let Ok(Ok(count)) = timeout_at(until, stream.read(&mut chunk)).await {
             past += count;
-            if count == 0 || past > MOST_PAST {
+            if count == 0 || past > READ_PAST {
                 return;
             }
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -171,11 +171,9 @@
         None
     }
 
-    /// When the next of those that rest has rested, unless others wait for all of them.
+    /// Where all of them rest: when the next has, unless others wait for each. They fell idle in this order.
     fn next_rested(&self) -> Option<Duration> {
-        let mut times: Vec<_> = self.idle.iter().map(|idle| idle.rested).collect();
-        times.sort_unstable();
-        times.get(self.patient).copied()
+        self.idle.get(self.patient).map(|idle| idle.rested)
     }
 }
 
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -6,12 +6,12 @@
 use crate::wire::{Encoding, ExceptionKind, FrameReader, NotFramed, Step, exception, read_head};
 use bytes::Bytes;
 use sillward_core::{Answer, Budget, Intake, Lease, Live, READ_BUFFER};
-use sillward_listener::{Client, Door, LINGER, READ_TIMEOUT, Serve};
+use sillward_listener::{Client, Door, READ_TIMEOUT, Serve};
 use sillward_log::log_peer;
 use sillward_seam::Stream;
 use sillward_seam::random::Random;
 use sillward_seam::task::{JoinSet, spawn_local};
-use sillward_seam::time::{Instant, sleep_until, timeout};
+use sillward_seam::time::{Instant, sleep_until};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -161,12 +161,8 @@
                 () = sleep_until(taken_by), if !out.is_empty() => return,
             }
         }
-        // Closed with bytes unread, the connection would be reset, and its caller might not see the last answer.
         self.front.door.done(&self.client, true);
-        if self.stream.shut_write().is_ok() {
-            let rest = async { while self.stream.read(&mut chunk).await.is_ok_and(|count| count > 0) {} };
-            let _ = timeout(LINGER, rest).await;
-        }
+        self.client.part(&self.stream).await;
     }
 
     /// Whether no call is open and every answer has been taken.
