A Thrift caller that left behind a waiting call has nothing sent for it

Seen on reading the change once more: the note in crates/thrift/src/calls.rs that an end of sending ends no caller was wrong (the front drops its calls at that end), and the end is not seen while a frame waits for its turn, since nothing is read then. Change: both fronts give Call::claim the same question, Client::here; of oneway calls nobody waits, as before.

--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -158,10 +158,7 @@
             coming,
             judge: None,
             answered: true,
-            here: Some({
-                let client = client.clone();
-                Rc::new(move || client.is_here())
-            }),
+            here: Some(client.here()),
             deadline: Cell::new(at + if more { LONGEST_UPLOAD } else { request.budget }),
             window: request.window,
             first_byte: Cell::new(None),
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -89,10 +89,16 @@
     }
 
     /// Whether it is still there to be answered, as of now. One that has ended its sending has gone.
-    pub fn is_here(&self) -> bool {
+    fn is_here(&self) -> bool {
         !self.socket.has_ended()
     }
 
+    /// The same, for whoever has no more to do with connections.
+    pub fn here(self: &Rc<Self>) -> Rc<dyn Fn() -> bool> {
+        let client = self.clone();
+        Rc::new(move || client.is_here())
+    }
+
     /// This side has said its last word. What still comes is read and counts for nothing, for a moment: closed over bytes
     /// that nobody read, the connection would be reset, and what its client has not read of the last answer lost.
     pub async fn part(&self, stream: &Stream) {
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -168,7 +168,7 @@
         answered: message.head.kind != Kind::Oneway,
         content: Content { form, bytes: bytes.clone() },
         coming: None,
-        here: None, // an end of its sending ends no caller, and a oneway call has nobody who waits
+        here: None, // the front knows the caller; of a oneway call nobody waits
         deadline: Cell::new(now + budget),
         window,
         first_byte: Cell::new(None),
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -245,7 +245,8 @@
                     let _ = front.intake.submit(new, call, at).await;
                 });
             }
-            Ok(Checked { new, call, caller }) => {
+            Ok(Checked { new, mut call, caller }) => {
+                call.here = Some(self.client.here());
                 self.open.insert(caller.seqid);
                 self.calls.spawn_local(async move {
                     let answer = front.intake.submit(new, call, at).await;
--- a/tests/thrift.rs
+++ b/tests/thrift.rs
@@ -80,6 +80,34 @@
     workers.into_iter().for_each(|worker| worker.join().expect("the check holds"));
 }
 
+// ---- Callers that leave ---------------------------------------------------------------------------
+
+/// The second call waits for its turn, and is not read past: the end of the connection stands behind it.
+#[test]
+fn what_a_caller_asked_for_that_left_behind_a_waiting_call_is_not_sent() {
+    for encoding in BOTH {
+        let tally = Tally::start(encoding, |_| ok("counted"));
+        let mut site = site(encoding, &[], "order = \"called\"");
+        let mut caller = site.caller(encoding);
+        for _ in 0..3 {
+            let frame = caller.frame("Tally:correct", &[origin("1f", "", 20_000), (2, Value::from("sheet"))]);
+            caller.write(&frame).expect("the node reads");
+        }
+        // The node has had a turn since: the first is held, since nobody is listed.
+        assert!(site.node.is_ready());
+        drop(caller);
+        // Held behind the others: what becomes of these is decided before it is sent.
+        let mut stays = site.caller(encoding);
+        let frame = stays.frame("Tally:read", &[origin("1f", "", 20_000)]);
+        stays.write(&frame).expect("the node reads");
+        assert!(site.node.is_ready());
+        site.watch.line(&list(9, false, &lines(&[&tally])));
+        assert_eq!(stays.answer().expect("read").expect("an answer").end(), End::Served);
+        assert_eq!(tally.next().name, "Tally:read");
+        assert_eq!(tally.count(), 1, "nothing of the one who had left");
+    }
+}
+
 // ---- Calls and answers --------------------------------------------------------------------------
 
 #[test]
