Pages are run beside folders of deploy/ as beside its files

Cause: since deployments of our own stand under deploy/sites, `rig pages` copied deploy/ file by file, took a folder for a file and panicked; all pages failed, and `rig plants` said BLIND with no reason, since the reason went to a log that nobody kept. At fault: the loop over deploy/ in crates/rig/src/scenario/pages.rs. Change: deploy/ is copied with all that is in it; a plant that breaks off before its last line shows the last line of its log.

--- a/crates/rig/src/scenario/pages.rs
+++ b/crates/rig/src/scenario/pages.rs
@@ -68,16 +68,11 @@
     fn new(root: &Path, page: &str) -> Self {
         let name = page.replace(['/', '.'], "-");
         let folder = std::env::temp_dir().join(format!("sillward-pages-{}", std::process::id())).join(name);
-        for sub in ["bin", "tmp", "deploy", "target/release"] {
+        for sub in ["bin", "tmp", "target/release"] {
             fs::create_dir_all(folder.join(sub)).expect("a scratch folder");
         }
         let mut scratch = Scratch { folder, ports: BTreeMap::new() };
-        for entry in fs::read_dir(root.join("deploy")).expect("deploy") {
-            let path = entry.expect("an entry").path();
-            let text = scratch.text(&fs::read_to_string(&path).expect("a file"));
-            let name = path.file_name().expect("a name");
-            fs::write(scratch.folder.join("deploy").join(name), text).expect("a copy");
-        }
+        scratch.copied(&root.join("deploy"), &scratch.folder.join("deploy"));
         let program = peers::program();
         let _ = std::os::unix::fs::symlink(&program, scratch.folder.join("bin/sillward"));
         let _ = std::os::unix::fs::symlink(&program, scratch.folder.join("target/release/sillward"));
@@ -89,6 +84,21 @@
         scratch
     }
 
+    /// Copies a folder with all that is in it, its ports replaced.
+    fn copied(&mut self, from: &Path, to: &Path) {
+        fs::create_dir_all(to).expect("a scratch folder");
+        for entry in fs::read_dir(from).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            let to = to.join(path.file_name().expect("a name"));
+            if path.is_dir() {
+                self.copied(&path, &to);
+            } else {
+                let text = self.text(&fs::read_to_string(&path).expect("a file"));
+                fs::write(to, text).expect("a copy");
+            }
+        }
+    }
+
     /// Ports are the machine's to give: two pages, or a node that runs already, are not to meet.
     fn text(&mut self, text: &str) -> String {
         ported(text, |port| {
--- a/crates/rig/src/scenario/plants.rs
+++ b/crates/rig/src/scenario/plants.rs
@@ -88,10 +88,12 @@
     let own = std::env::current_exe().expect("its own path");
     // Built already by whoever started this.
     let mut command = Command::new(own);
-    command.args(plant.arguments.split(' ')).env_remove("CARGO").stdin(Stdio::null()).stderr(Stdio::null());
+    command.args(plant.arguments.split(' ')).env_remove("CARGO").stdin(Stdio::null());
     let Ok(output) = command.output() else { return (false, "it did not start".to_owned()) };
     let text = String::from_utf8_lossy(&output.stdout);
-    let last = text.lines().last().unwrap_or_default();
+    // What broke off before its last line says why in its log.
+    let log = String::from_utf8_lossy(&output.stderr);
+    let last = text.lines().last().or_else(|| log.lines().last()).unwrap_or_default();
     let seen = output.status.code() == Some(1)
         && last.starts_with("FAILED")
         && plant.says.iter().any(|what| text.contains(what));
