A cold server's tickets come at even times, and stand for an idle sign where load is probed

Cause: a cold server was sent requests for tickets drawn by chance, each on its own; that adds up to a Poisson count, so few nodes had to aim at half of what the rule allows. And where load is probed, a cold server is not probed and never shows idle: it was chosen only where all had reached the cap (draw_tickets and cold_spend in policy/cold.rs, estimate in policy/selection.rs). Change: a server's first ticket comes by chance and the next ones at even times; the aim counts that spread, and the Poisson one where each node has less than a ticket in the judged time. With a ticket, and load probed, the estimate is what is out there.

--- a/crates/hillpick/src/policy/cold.rs
+++ b/crates/hillpick/src/policy/cold.rs
@@ -12,11 +12,12 @@
         (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
     }
 
-    /// Rule 4: a cold server is sent a request for a ticket, by chance and for a short time. All
-    /// nodes' answers from a warm server add up to less than its capacity, so tickets at a multiple
-    /// of own answers from one add up to less than that multiple of it, whatever part of the
-    /// traffic each node sees. What hundreds of quiet nodes save up could be spent in one burst, so
-    /// no more is saved than the rest of the bound holds.
+    /// Rule 4: a cold server is sent a request for a ticket, which comes at even times from a first
+    /// one by chance, and lasts for a short time. All nodes' answers from a warm server add up to
+    /// less than its capacity, so tickets at a multiple of own answers from one add up to less than
+    /// that multiple of it, whatever part of the traffic each node sees. What hundreds of quiet
+    /// nodes save up could be spent in one burst, so no more is saved than the rest of the bound
+    /// holds.
     pub(super) fn draw_tickets(&mut self) {
         let (rules, now) = (self.settings.rules, self.now);
         let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
@@ -28,25 +29,30 @@
         for id in cold {
             let capacity = rules.overload_factor * self.warmth(&self.servers[&id]);
             let rate = capacity * part * self.cold_spend(capacity * part);
-            let (chance, span) = (self.random(), rules.overload_time.mul_f64(COLD_SAVED));
+            let chance = self.random();
             let Some(server) = self.servers.get_mut(&id) else { continue };
-            let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
-            let won = chance < 1.0 - (-rate * since).exp();
-            server.ticket =
-                if server.ticket <= now && won { now + rules.overload_time / 2 } else { server.ticket };
-            server.drawn = now;
+            // One that was just listed is somewhere between two tickets.
+            let drawn = server.drawn.map_or(chance, |(at, drawn)| drawn + rate * (now - at).as_secs_f64());
+            server.drawn = Some((now, drawn.fract()));
+            let came = Duration::from_secs_f64((drawn.fract() / rate.max(1e-9)).min(1e6));
+            if drawn >= 1.0 && came < rules.overload_time.mul_f64(COLD_SAVED) {
+                server.ticket = (now + rules.overload_time / 2).saturating_sub(came);
+            }
         }
     }
 
     /// The part of what the cold rule allows that all nodes together aim at, `own` being this
-    /// node's part of it a second. Draws that know nothing of each other add up to a Poisson count,
-    /// and the rule puts 2 root of N + 2 calls down to chance: the aim lies six of its own roots
-    /// below that bound.
+    /// node's part of it a second. The rule puts 2 root of N + 2 calls down to chance: the aim lies
+    /// six of its own roots of variance below that bound. Nodes know nothing of each other's
+    /// tickets: where each has less than one in the judged time, they add up to a Poisson count; a
+    /// node with more is one ticket off at the most.
     fn cold_spend(&self, own: f64) -> f64 {
         let sharing = f64::from(self.settings.nodes) * self.enough() as f64 / self.order.len().max(1) as f64;
-        let allowed = own * sharing.max(1.0) * self.settings.rules.overload_time.as_secs_f64();
+        let sharing = sharing.max(1.0);
+        let allowed = own * sharing * self.settings.rules.overload_time.as_secs_f64();
         let bound = allowed + 2.0 * allowed.sqrt() + 2.0;
-        let aim = ((bound + COLD_ROOTS * COLD_ROOTS / 4.0).sqrt() - COLD_ROOTS / 2.0).powi(2);
+        let poisson = ((bound + COLD_ROOTS * COLD_ROOTS / 4.0).sqrt() - COLD_ROOTS / 2.0).powi(2);
+        let aim = poisson.max(bound - COLD_ROOTS * (sharing / 2.0).sqrt());
         (aim / allowed.max(1e-9)).min(COLD_SPEND)
     }
 
--- a/crates/hillpick/src/policy/lists.rs
+++ b/crates/hillpick/src/policy/lists.rs
@@ -25,7 +25,7 @@
         for entry in entries {
             let old = self.servers.remove(&entry.id).unwrap_or_default();
             let same = old.entry.id == entry.id && old.entry.started == entry.started;
-            let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
+            let new = Server { out: old.out, count, ..Server::default() };
             if entry.state != ServerState::Gone {
                 self.servers.insert(entry.id, Server { entry, ..if same { old } else { new } });
             }
--- a/crates/hillpick/src/policy/selection.rs
+++ b/crates/hillpick/src/policy/selection.rs
@@ -33,10 +33,16 @@
     }
 
     /// Own sends since the last idle sign. Where those come from cheap probes and other nodes send as well,
-    /// a sign lapses once they may have sent there too.
+    /// a sign lapses once they may have sent there too. A cold server is not probed: its ticket stands for a
+    /// sign, since it is this node's part of what all may send there.
     pub(super) fn estimate(&self, server: &Server, cap: u32) -> u32 {
         let lapses = self.probes_tell() && self.settings.nodes > 1;
-        if lapses && !server.idle_at.is_some_and(|at| self.fresh(at)) { cap } else { server.count }
+        match server.idle_at {
+            _ if lapses && self.warmth(server) < 1.0 => server.out,
+            Some(at) if lapses && !self.fresh(at) => cap,
+            None if lapses => cap,
+            _ => server.count,
+        }
     }
 
     /// The cap m of Theorem 6 of the paper, from own sends for each idle sign (its lambda / delta) and the
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -25,9 +25,10 @@
     pub ejected: Option<Duration>,
     /// How often in a row, halved by an answer: each time it is ejected for longer.
     pub ejections: u32,
-    /// While cold: until when it may be sent a request, and when that was last drawn for.
+    /// While cold: until when it may be sent a request; and when that was last looked at, with the
+    /// part of a ticket that was due then.
     pub ticket: Duration,
-    pub drawn: Duration,
+    pub drawn: Option<(Duration, f64)>,
 }
 
 /// An attempt, and how it ended.
--- a/crates/hillpick/tests/cold_sums.rs
+++ b/crates/hillpick/tests/cold_sums.rs
@@ -387,3 +387,26 @@
         }
     });
 }
+
+/// Tickets that come at even times add up with less chance than draws that know nothing of each other, so few nodes may aim
+/// nearer to the bound, and use what they may.
+#[test]
+fn few_nodes_use_most_of_what_a_cold_server_may_be_sent() {
+    for nodes in [1, 3] {
+        let counted = played(Play { nodes, factor: 1.2, load: 1.6, ..PLAIN }, 2);
+        println!("{nodes:4} nodes: mean {:.3} of N, worst {:.2} of the bound", counted.mean, counted.worst);
+        assert_eq!(counted.breaks, 0, "{nodes} nodes: {counted:?}");
+        assert!(counted.mean > 0.62, "{nodes} nodes: {counted:?}");
+    }
+}
+
+/// Where load is probed a cold server shows no sign, since it is not probed: its ticket stands for one.
+#[test]
+fn a_cold_server_is_used_where_load_is_probed() {
+    for nodes in [3, 20] {
+        let counted = played(Play { nodes, probes: true, load: 0.5, ..PLAIN }, 2);
+        println!("{nodes:4} nodes: mean {:.3} of N, worst {:.2} of the bound", counted.mean, counted.worst);
+        assert_eq!(counted.breaks, 0, "{nodes} nodes: {counted:?}");
+        assert!(counted.mean > 0.18, "{nodes} nodes: {counted:?}");
+    }
+}
