A permit, not a ticket, is what lets a cold server be sent a request

Need: names follow the field's terms as code is touched; a permit is what limiters grant. Change: ticket is permit in the decision module, its tests and pages. One constant says how long a permit lasts, where two said the same half. Result: the module's tests pass; no decision differs.

--- a/crates/hillpick/src/policy.rs
+++ b/crates/hillpick/src/policy.rs
@@ -34,8 +34,8 @@
 /// bound the aim lies.
 const COLD_SPEND: f64 = 0.75;
 const COLD_ROOTS: f64 = 6.0;
-/// A node that had nothing to send saves its part up for so much of the time in which a cold server
-/// is judged.
+/// A permit for a cold server lasts for so much of the time in which the server is judged: a node that
+/// had nothing to send saves no more.
 const COLD_SAVED: f64 = 0.5;
 /// Of what arrives, where it is not known what a warm server carries: more may arrive than all can
 /// carry.
--- a/crates/hillpick/src/policy/cold.rs
+++ b/crates/hillpick/src/policy/cold.rs
@@ -12,13 +12,13 @@
         (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
     }
 
-    /// Rule 4: a cold server is sent a request for a ticket, which comes at even times from a first
+    /// Rule 4: a cold server is sent a request for a permit, which comes at even times from a first
     /// one by chance, and lasts for a short time. All nodes' answers from a warm server add up to
-    /// less than its capacity, so tickets at a multiple of own answers from one add up to less than
+    /// less than its capacity, so permits at a multiple of own answers from one add up to less than
     /// that multiple of it, whatever part of the traffic each node sees. What hundreds of quiet
     /// nodes save up could be spent in one burst, so no more is saved than the rest of the bound
     /// holds.
-    pub(super) fn draw_tickets(&mut self) {
+    pub(super) fn draw_permits(&mut self) {
         let (rules, now) = (self.settings.rules, self.now);
         let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
         let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
@@ -31,12 +31,13 @@
             let rate = capacity * part * self.cold_spend(capacity * part);
             let chance = self.random();
             let Some(server) = self.servers.get_mut(&id) else { continue };
-            // One that was just listed is somewhere between two tickets.
+            // One that was just listed is somewhere between two permits.
             let drawn = server.drawn.map_or(chance, |(at, drawn)| drawn + rate * (now - at).as_secs_f64());
             server.drawn = Some((now, drawn.fract()));
             let came = Duration::from_secs_f64((drawn.fract() / rate.max(1e-9)).min(1e6));
-            if drawn >= 1.0 && came < rules.overload_time.mul_f64(COLD_SAVED) {
-                server.ticket = (now + rules.overload_time / 2).saturating_sub(came);
+            let lasts = rules.overload_time.mul_f64(COLD_SAVED);
+            if drawn >= 1.0 && came < lasts {
+                server.permit = now + lasts - came;
             }
         }
     }
@@ -44,8 +45,8 @@
     /// The part of what the cold rule allows that all nodes together aim at, `own` being this
     /// node's part of it a second. The rule puts 2 root of N + 2 calls down to chance: the aim lies
     /// six of its own roots of variance below that bound. Nodes know nothing of each other's
-    /// tickets: where each has less than one in the judged time, they add up to a Poisson count; a
-    /// node with more is one ticket off at the most.
+    /// permits: where each has less than one in the judged time, they add up to a Poisson count; a
+    /// node with more is one permit off at the most.
     fn cold_spend(&self, own: f64) -> f64 {
         let sharing = f64::from(self.settings.nodes) * self.enough() as f64 / self.order.len().max(1) as f64;
         let sharing = sharing.max(1.0);
--- a/crates/hillpick/src/policy/repeats.rs
+++ b/crates/hillpick/src/policy/repeats.rs
@@ -7,7 +7,7 @@
     /// server is sent no more than this node's part of what it can take.
     pub(super) fn permitted(&self, server: &Server, request: &Request) -> bool {
         server.entry.state == ServerState::Ready
-            && (self.warmth(server) >= 1.0 || server.ticket > self.now && request.weight <= HEAVY)
+            && (self.warmth(server) >= 1.0 || server.permit > self.now && request.weight <= HEAVY)
             && self.repeat_allows(server, request)
             && !request.attempts.iter().any(|a| a.to.id == server.entry.id)
     }
@@ -103,7 +103,7 @@
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
         self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
         self.servers.entry(to).and_modify(|s| {
-            (s.ticket, s.count) = (Duration::ZERO, s.count + 1);
+            (s.permit, s.count) = (Duration::ZERO, s.count + 1);
             s.out += u32::from(here);
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
         });
--- a/crates/hillpick/src/policy/selection.rs
+++ b/crates/hillpick/src/policy/selection.rs
@@ -33,7 +33,7 @@
     }
 
     /// Own sends since the last idle sign. Where those come from cheap probes and other nodes send as well,
-    /// a sign lapses once they may have sent there too. A cold server is not probed: its ticket stands for a
+    /// a sign lapses once they may have sent there too. A cold server is not probed: its permit stands for a
     /// sign, since it is this node's part of what all may send there.
     pub(super) fn estimate(&self, server: &Server, cap: u32) -> u32 {
         let lapses = self.probes_tell() && self.settings.nodes > 1;
@@ -80,7 +80,7 @@
     /// Finds a server for a request that waits for its first or a further attempt.
     pub(super) fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let (luck, draw) = (self.random(), self.random());
-        self.draw_tickets();
+        self.draw_permits();
         self.waits(id, false);
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
         let permitted =
@@ -91,7 +91,7 @@
             return self.finish(id, actions);
         }
         if permitted.is_empty() {
-            // Nobody is listed, or only cold servers without a ticket: hold it a while.
+            // Nobody is listed, or only cold servers without a permit: hold it a while.
             return self.wait(id, actions);
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
--- a/crates/hillpick/src/state.rs
+++ b/crates/hillpick/src/state.rs
@@ -26,8 +26,8 @@
     /// How often in a row, halved by an answer: each time it is ejected for longer.
     pub ejections: u32,
     /// While cold: until when it may be sent a request; and when that was last looked at, with the
-    /// part of a ticket that was due then.
-    pub ticket: Duration,
+    /// part of a permit that was due then.
+    pub permit: Duration,
     pub drawn: Option<(Duration, f64)>,
 }
 
--- a/crates/hillpick/tests/cold_sums.rs
+++ b/crates/hillpick/tests/cold_sums.rs
@@ -388,7 +388,7 @@
     });
 }
 
-/// Tickets that come at even times add up with less chance than draws that know nothing of each other, so few nodes may aim
+/// Permits that come at even times add up with less chance than draws that know nothing of each other, so few nodes may aim
 /// nearer to the bound, and use what they may.
 #[test]
 fn few_nodes_use_most_of_what_a_cold_server_may_be_sent() {
@@ -400,7 +400,7 @@
     }
 }
 
-/// Where load is probed a cold server shows no sign, since it is not probed: its ticket stands for one.
+/// Where load is probed a cold server shows no sign, since it is not probed: its permit stands for one.
 #[test]
 fn a_cold_server_is_used_where_load_is_probed() {
     for nodes in [3, 20] {
