--- a/crates/assembly/src/handover.rs
+++ b/crates/assembly/src/handover.rs
@@ -238,3 +238,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/seam/src/local.rs
+++ b/crates/seam/src/local.rs
@@ -43,6 +43,14 @@
         Ok(LocalStream(UnixStream::connect(path).await?))
     }
 
+    /// The two ends of a connection within this process.
+    ///
+    /// # Errors
+    /// Out of descriptors.
+    pub fn pair() -> io::Result<(Self, Self)> {
+        UnixStream::pair().map(|(one, other)| (LocalStream(one), LocalStream(other)))
+    }
+
     /// Reads what is there; 0 at the end. Dropped while it waits, it loses nothing.
     ///
     /// # Errors
