The estimate's cases stand once each

Cause: on reading the change again, two cases of the estimate asked the same and gave the same cap. Change: four cases in order; the cold server's warmth is asked for only where signs lapse, as before. No decision differs.

--- a/crates/hillpick/src/policy/selection.rs
+++ b/crates/hillpick/src/policy/selection.rs
@@ -38,10 +38,10 @@
     pub(super) fn estimate(&self, server: &Server, cap: u32) -> u32 {
         let lapses = self.probes_tell() && self.settings.nodes > 1;
         match server.idle_at {
-            _ if lapses && self.warmth(server) < 1.0 => server.out,
-            Some(at) if lapses && !self.fresh(at) => cap,
-            None if lapses => cap,
-            _ => server.count,
+            _ if !lapses => server.count,
+            _ if self.warmth(server) < 1.0 => server.out,
+            Some(at) if self.fresh(at) => server.count,
+            _ => cap,
         }
     }
 
