--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod http;
 pub mod node;
+pub mod thrift;
 
 use std::fs::File;
 use std::io::Write;
