--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -48,10 +48,8 @@
 }
 
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
-        .status();
+    let words = format!("kill -s {name} {pid}");
+    let _ = Command::new("/bin/sh").arg("-c").arg(words).status();
 }
 
 impl Node {
