--- a/review/standins/src/thrift.rs
+++ b/review/standins/src/thrift.rs
@@ -5,6 +5,7 @@
 
 const CALL: u8 = 1;
 const REPLY: u8 = 2;
+const ONEWAY: u8 = 4;
 const TYPE_I64: u8 = 10;
 const TYPE_STRING: u8 = 11;
 
@@ -21,6 +22,10 @@
     pub fn is_result(&self) -> bool {
         self.kind == REPLY
     }
+
+    pub fn is_oneway(&self) -> bool {
+        self.kind == ONEWAY
+    }
 }
 
 fn head(kind: u8, name: &str, seqid: i32) -> Vec<u8> {
@@ -46,7 +51,16 @@
 
 /// A call with a text in field 1 and a budget in field 2.
 pub fn call(name: &str, seqid: i32, text: &str, budget_ms: i64) -> Vec<u8> {
-    let mut out = head(CALL, name, seqid);
+    message(CALL, name, seqid, text, budget_ms)
+}
+
+/// The same as a call that has no answer.
+pub fn oneway(name: &str, seqid: i32, text: &str, budget_ms: i64) -> Vec<u8> {
+    message(ONEWAY, name, seqid, text, budget_ms)
+}
+
+fn message(kind: u8, name: &str, seqid: i32, text: &str, budget_ms: i64) -> Vec<u8> {
+    let mut out = head(kind, name, seqid);
     text_field(&mut out, 1, text);
     out.push(TYPE_I64);
     out.extend(2i16.to_be_bytes());
