Decide a request by the settings of its head, not by those of its last byte

Cause: the frontend checked the head by the settings of that moment and gave the decision module the class's number alone. The module read the class's idempotency, objective, weight, attempt limit and hedging when the body was whole; by then the number stood for a keyed class.

That open requests are loosened is excluded by an older decision test, which passes on that code.

The checks and the RequestPolicy that goes with the request come from it, over HTTP and Thrift.

The harness of the decision tests now holds a request against the policy that it carries, where it carries one; requests without one are held as before.

--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -16,7 +16,7 @@
 use sillward_consensus_io::ConsensusService;
 use sillward_forwarding::{
     BackendProtocol, LiveSettings, LoadReportParser, MemoryBudget, Message, Node, NodeGauges,
-    NodeHandle, ProtocolDispatcher, SettingsLease,
+    NodeHandle, ProtocolDispatcher, SettingsLease, SettingsSnapshot,
 };
 use sillward_listener::{ConnectionManager, SharedLifecycle};
 use sillward_logging::log;
@@ -222,8 +222,10 @@
     if let Some(council) = &council {
         // Nothing is acted on that was not asked for: the careful reading holds from the first call on.
         let readings = council.effective_values(&agreement::keys(&config.platform));
-        live.set(Rc::new(agreement::called(&config.platform, &readings)));
-        lapse.set_fallback(Rc::new(agreement::laid_over(&config.platform, &readings)));
+        let called = Rc::new(agreement::called(&config.platform, &readings));
+        let decided = Rc::new(agreement::laid_over(&config.platform, &readings));
+        live.set(SettingsSnapshot::new(called, decided.clone()));
+        lapse.set_fallback(decided);
     }
     let sources = sources::start(clock, &config, operator.etcd, &messages, &live);
     let node = Node::new(
@@ -435,12 +437,12 @@
             let told = self
                 .node
                 .send(Message::Settings {
-                    settings: site,
+                    settings: site.clone(),
                     generation,
                 })
                 .await;
             told.map_err(|_| "the node has ended".to_owned())?;
-            self.live.set(called);
+            self.live.set(SettingsSnapshot::new(called, site));
         }
         Ok(changed)
     }
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -3,7 +3,7 @@
 use crate::endpoint::{Endpoint, EndpointUpdate};
 use crate::ids::{RequestId, ServerId};
 use crate::load_report::LoadReport;
-use crate::settings::Settings;
+use crate::settings::{RequestPolicy, Settings};
 use std::time::Duration;
 
 /// How an attempt or a health check ended.
@@ -57,6 +57,8 @@
     pub client_retry: bool,
     /// Whether its body is still being received; `remaining` then counts from [`Event::BodyComplete`].
     pub body_pending: bool,
+    /// The settings under which its head was accepted; `None` if these are the settings in force.
+    pub policy: Option<RequestPolicy>,
 }
 
 /// The end of an attempt.
@@ -96,9 +98,10 @@
 /// An event reported by the host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// The settings have changed. Classes and tenants keep their positions and none is removed; open requests keep the
-    /// deadline, idempotency and attempt limit under which they were accepted. A lower attempt limit applies to them
-    /// too, and so does a stricter idempotency with [`Settings::tighten_open_requests`].
+    /// The settings have changed. Classes and tenants keep their positions and none is removed; open requests, and those
+    /// whose head was accepted before ([`NewRequest::policy`]), keep the policy under which they were accepted. A lower
+    /// attempt limit and a ban on hedging apply to them too, and so does a stricter idempotency with
+    /// [`Settings::tighten_open_requests`].
     Settings(Box<Settings>),
     /// An endpoint update, or a failure to get one.
     EndpointList {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -26,8 +26,8 @@
 pub use load_report::LoadReport;
 pub use policy::{Balancer, EndpointCounts, FinishReason, HoldReason, SendBlocked};
 pub use settings::{
-    Class, Idempotency, Limits, ObjectiveWeights, Penalties, ReportSource, SafetyRules, Scope,
-    Settings, Tenant,
+    Class, Idempotency, Limits, ObjectiveWeights, Penalties, ReportSource, RequestPolicy,
+    SafetyRules, Scope, Settings, Tenant,
 };
 
 /// The README's example, compiled as a test.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -45,7 +45,7 @@
 use crate::endpoint::{Endpoint, EndpointUpdate};
 use crate::event::Event;
 use crate::ids::RequestId;
-use crate::settings::Settings;
+use crate::settings::{RequestPolicy, Settings};
 use concurrency::ConcurrencyGate;
 use context::Context;
 use deadline::FirstRequestTimeouts;
@@ -167,6 +167,11 @@
         }
     }
 
+    /// The policy of a request of the class at this position whose head is accepted now.
+    pub fn request_policy(&self, class: usize) -> RequestPolicy {
+        self.settings.request_policy(class)
+    }
+
     /// The number of listed servers, and of ready servers that are ejected. Draining servers do not count as ejected.
     pub fn endpoint_counts(&self) -> EndpointCounts {
         self.endpoints.counts()
--- a/crates/balancer/src/policy/arrival.rs
+++ b/crates/balancer/src/policy/arrival.rs
@@ -7,6 +7,7 @@
 use crate::action::Action;
 use crate::event::NewRequest;
 use crate::ids::RequestId;
+use crate::settings::{Idempotency, RequestPolicy};
 use std::time::Duration;
 
 /// Below this fraction of busy load reports a request is accepted with up to twice the work that its deadline allows,
@@ -38,9 +39,14 @@
     fn new_request(&mut self, new: &NewRequest) -> Request {
         let now = self.now;
         let class = new.class.min(self.settings.classes.len() - 1);
-        let deadline = self
-            .first_request_timeouts
-            .deadline(&self.settings, now, new, class);
+        let policy = match &new.policy {
+            Some(accepted) => accepted.clone(),
+            None => self.settings.request_policy(class),
+        };
+        let idempotency = self.idempotency_of(class, &policy);
+        let deadline =
+            self.first_request_timeouts
+                .deadline(&self.settings, now, new, class, &policy.class);
         let relative_work = self.average_work.relative(new.expected_work);
         let context = super::context_of(&self.settings, now, &self.latency);
         self.slow_start.on_request(&context, relative_work);
@@ -50,12 +56,15 @@
             .on_request(&self.settings.penalties, ready_servers);
         let priority = self
             .priorities
-            .of_request(&self.settings, now, class, new.tenant);
+            .of_request(&self.settings, now, &policy.class, new.tenant);
         let time = deadline.saturating_sub(now);
         Request {
             class,
-            idempotency: self.settings.classes[class].idempotency,
-            max_attempts: self.settings.limits.max_attempts,
+            idempotency,
+            max_attempts: policy.max_attempts,
+            hedging: policy.hedging,
+            latency_objective: policy.class.latency_objective,
+            late_response_counts: policy.class.late_weight > 0.0,
             relative_work,
             priority,
             deadline: if new.body_pending {
@@ -69,6 +78,16 @@
         }
     }
 
+    /// The idempotency of a new request: that of its head, and where stricter settings apply to open requests, at most that
+    /// of the settings in force, which may have come between its head and now.
+    fn idempotency_of(&self, class: usize, policy: &RequestPolicy) -> Idempotency {
+        let accepted = policy.class.idempotency;
+        if !self.settings.tighten_open_requests {
+            return accepted;
+        }
+        accepted.stricter(self.settings.classes[class].idempotency)
+    }
+
     /// Whether even an idle server could not respond in time.
     fn exceeds_available_time(
         &self,
--- a/crates/balancer/src/policy/completion.rs
+++ b/crates/balancer/src/policy/completion.rs
@@ -74,9 +74,8 @@
 
         let past_deadline_s = self.now.as_secs_f64() - request.deadline.as_secs_f64();
         let at_deadline = (0.0..mean_latency_s * MAX_OVERDUE_FRACTION).contains(&past_deadline_s);
-        let class = &self.settings.classes[request.class];
-        let available_time = class.latency_objective.min(request.deadline - sent_at);
-        let quarters = if class.late_weight > 0.0 {
+        let available_time = request.latency_objective.min(request.deadline - sent_at);
+        let quarters = if request.late_response_counts {
             SLOW_QUARTERS_IF_LATE_COUNTS
         } else {
             SLOW_QUARTERS
--- a/crates/balancer/src/policy/deadline.rs
+++ b/crates/balancer/src/policy/deadline.rs
@@ -44,7 +44,7 @@
         class.deadline.saturating_sub(request.remaining)
     }
 
-    /// The deadline of a new request of the class at `class_index`: when its client gives up, or at the latency objective if
+    /// The deadline of a new request of `class`, at position `class_index`: when its client gives up, or at the latency objective if
     /// that is earlier and late responses have no weight. A margin is kept because timers are late by up to one timer
     /// resolution, and the response has to reach the client in time.
     pub(super) fn deadline(
@@ -53,8 +53,8 @@
         now: Duration,
         request: &NewRequest,
         class_index: usize,
+        class: &Class,
     ) -> Duration {
-        let class = &settings.classes[class_index];
         let margin = 2 * settings.timer_resolution;
         let client_timeout_at = now + request.remaining.saturating_sub(margin);
         let work = request.expected_work.unwrap_or_default();
--- a/crates/balancer/src/policy/priority.rs
+++ b/crates/balancer/src/policy/priority.rs
@@ -1,7 +1,7 @@
 //! Priority: a request's weight relative to that of the average request, from its class and its tenant's quota.
 
 use super::estimators::{Ewma, SMOOTHING};
-use crate::settings::{Settings, Tenant};
+use crate::settings::{Class, Settings, Tenant};
 use std::time::Duration;
 
 /// Weight of one request in the moving averages.
@@ -62,7 +62,7 @@
         &mut self,
         settings: &Settings,
         now: Duration,
-        class: usize,
+        class: &Class,
         tenant: usize,
     ) -> f64 {
         let over_quota = self.charge_quota(settings, now, tenant);
@@ -71,7 +71,7 @@
         } else {
             1.0
         };
-        let weight = settings.classes[class].priority_weight * factor;
+        let weight = class.priority_weight * factor;
         self.average_weight.observe(weight, AVERAGE_SMOOTHING);
         let average = self.average_weight.value();
         let objective = &settings.objective_weights;
--- a/crates/balancer/src/policy/request.rs
+++ b/crates/balancer/src/policy/request.rs
@@ -31,10 +31,16 @@
 #[derive(Default)]
 pub(super) struct Request {
     pub(super) class: usize,
-    /// The idempotency of its class when it was accepted. New settings may tighten it.
+    /// The idempotency of its class when its head was accepted. New settings may tighten it.
     pub(super) idempotency: Idempotency,
-    /// The most attempts, as allowed when it was accepted. Later settings may allow fewer.
+    /// The most attempts, as allowed when its head was accepted. Later settings may allow fewer.
     pub(super) max_attempts: u32,
+    /// Whether hedging was allowed when its head was accepted. Later settings may forbid it.
+    pub(super) hedging: bool,
+    /// The latency objective of its class when its head was accepted.
+    pub(super) latency_objective: Duration,
+    /// Whether a response after the latency objective has any weight.
+    pub(super) late_response_counts: bool,
     /// Its expected work relative to that of the average request.
     pub(super) relative_work: f64,
     /// Its priority: its weight relative to that of the average request.
--- a/crates/balancer/src/policy/retry.rs
+++ b/crates/balancer/src/policy/retry.rs
@@ -56,6 +56,11 @@
     request.max_attempts.min(allowed_now).max(1) as usize
 }
 
+/// Whether an open request may have two attempts in flight. New settings can forbid it but not allow it.
+pub(super) fn may_hedge(context: &Context<'_>, request: &Request) -> bool {
+    request.hedging && context.settings.limits.hedging
+}
+
 /// How long to wait for a response before the request is retried or hedged, if that is allowed.
 pub(super) fn response_timeout(
     context: &Context<'_>,
@@ -78,7 +83,7 @@
     let Some(last) = request.last_in_flight() else {
         return true;
     };
-    if !context.settings.limits.hedging || request.in_flight() >= 2 || request.body_pending() {
+    if !may_hedge(context, request) || request.in_flight() >= 2 || request.body_pending() {
         return false;
     }
     let timeout = response_timeout(context, latency, request);
--- a/crates/balancer/src/policy/send_gate.rs
+++ b/crates/balancer/src/policy/send_gate.rs
@@ -113,7 +113,7 @@
             outcome: None,
         };
         let may_retry = !body_pending && self.may_retry_after(server, request, response_timeout);
-        let hedging = context.settings.limits.hedging;
+        let hedging = retry::may_hedge(&context, request);
         let timeout = if may_retry && !hedging {
             response_timeout
         } else {
--- a/crates/balancer/src/policy/tests/priority.rs
+++ b/crates/balancer/src/policy/tests/priority.rs
@@ -23,7 +23,7 @@
         ..Settings::default()
     };
     let mut priorities = Priorities::new(&settings);
-    let mut priority = || priorities.of_request(&settings, 100 * SECOND, 0, 0);
+    let mut priority = || priorities.of_request(&settings, 100 * SECOND, &settings.classes[0], 0);
     let within = [priority(), priority()];
     let over = priority();
     assert!(within.iter().all(|p| (p - 1.0).abs() < 0.01), "{within:?}");
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -4,6 +4,7 @@
 mod model;
 mod platform;
 mod report_field;
+mod request_policy;
 mod validation;
 mod wire;
 
@@ -14,6 +15,7 @@
 };
 pub use platform::PlatformSettings;
 pub use report_field::ReportField;
+pub use request_policy::RequestPolicy;
 pub use wire::millis;
 
 /// Reads the platform's settings, as JSON.
--- a/crates/balancer/tests/characterization/sequence.rs
+++ b/crates/balancer/tests/characterization/sequence.rs
@@ -250,6 +250,7 @@
             expected_work: expected_work_us.map(Duration::from_micros),
             client_retry: self.random.chance(0.2),
             body_pending,
+            policy: None,
         };
         self.attempts.insert(id, Vec::new());
         if body_pending {
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -193,6 +193,7 @@
                 expected_work,
                 client_retry: false,
                 body_pending: false,
+                policy: None,
             }),
         )
     }
@@ -201,7 +202,10 @@
     pub fn handle_request(&mut self, new: NewRequest) -> Vec<Action> {
         let deadline = self.now + new.remaining;
         let request = AcceptedRequest {
-            idempotency: self.settings.classes[new.class].idempotency,
+            idempotency: match &new.policy {
+                Some(policy) => policy.class.idempotency,
+                None => self.settings.classes[new.class].idempotency,
+            },
             deadline,
             finished: false,
             attempts: Vec::new(),
--- a/crates/balancer/tests/decisions/settings_changes.rs
+++ b/crates/balancer/tests/decisions/settings_changes.rs
@@ -42,6 +42,104 @@
     );
 }
 
+/// Changes the settings between the head of a request of class 0 and the end of its body, ends its first attempt, and
+/// returns the number of retries.
+fn retries_if_changed_after_the_head(
+    before: Settings,
+    change: impl FnOnce(&mut Settings),
+) -> usize {
+    let mut harness = harness_with_servers_in_one_zone(before);
+    let policy = harness.balancer.request_policy(0);
+    change_settings(&mut harness, change);
+    let id = RequestId(1);
+    harness.handle_request(NewRequest {
+        id,
+        remaining: ms(1000),
+        policy: Some(policy),
+        ..NewRequest::default()
+    });
+    let actions = harness.end_attempt(id, 0, Outcome::Reset, None);
+    sent_to(&actions).len()
+}
+
+/// Guards against decisions under settings that came after the head: an unsafe request was retried as a keyed one.
+#[test]
+fn decides_by_the_settings_of_the_head_whatever_came_before_the_request_was_whole() {
+    let keyed = Idempotency::Keyed {
+        scope: Scope::All,
+        window: ms(900),
+    };
+    let retries = |before: Idempotency, after: Idempotency| {
+        let mut settings = with_load_reports();
+        settings.classes[0].idempotency = before;
+        retries_if_changed_after_the_head(settings, |settings| {
+            settings.classes[0].idempotency = after;
+        })
+    };
+    assert_eq!(retries(Idempotency::NonIdempotent, keyed), 0);
+    assert_eq!(
+        retries(Idempotency::NonIdempotent, Idempotency::Idempotent),
+        0
+    );
+    assert_eq!(retries(keyed, Idempotency::NonIdempotent), 1);
+    assert_eq!(
+        retries(Idempotency::Idempotent, Idempotency::NonIdempotent),
+        1
+    );
+}
+
+/// Guards against a stricter agreed setting that reaches open requests but not those whose body is still coming.
+#[test]
+fn stricter_agreed_idempotency_also_holds_for_a_request_whose_head_came_before() {
+    let retries_after_change_to = |idempotency: Idempotency| {
+        retries_if_changed_after_the_head(with_load_reports(), |settings| {
+            settings.tighten_open_requests = true;
+            settings.classes[0].idempotency = idempotency;
+        })
+    };
+    assert_eq!(retries_after_change_to(Idempotency::Idempotent), 1);
+    assert_eq!(retries_after_change_to(Idempotency::NonIdempotent), 0);
+}
+
+/// Guards against an attempt limit that grows while the body is still coming.
+#[test]
+fn allows_no_more_attempts_than_the_settings_of_the_head_and_no_more_than_those_in_force() {
+    let retries = |before: u32, after: u32| {
+        let mut settings = with_load_reports();
+        settings.limits.max_attempts = before;
+        retries_if_changed_after_the_head(settings, |settings| settings.limits.max_attempts = after)
+    };
+    assert_eq!((retries(1, 3), retries(3, 1), retries(3, 3)), (0, 0, 1));
+}
+
+/// Guards against a deadline under an objective that came after the head.
+#[test]
+fn keeps_the_latency_objective_of_the_head() {
+    let deadline = |before: u64, after: u64| {
+        let mut settings = with_load_reports();
+        settings.classes[0].late_weight = 0.0;
+        settings.classes[0].latency_objective = ms(before);
+        let mut harness = harness_with_servers_in_one_zone(settings);
+        let policy = harness.balancer.request_policy(0);
+        change_settings(&mut harness, |settings| {
+            settings.classes[0].latency_objective = ms(after);
+        });
+        let actions = harness.handle_request(NewRequest {
+            id: RequestId(1),
+            remaining: ms(1000),
+            policy: Some(policy),
+            ..NewRequest::default()
+        });
+        actions.iter().find_map(|action| match action {
+            Action::SetTimer { after, token: 1 } => Some(*after),
+            _ => None,
+        })
+    };
+    assert_eq!(deadline(300, 700), deadline(300, 300));
+    assert_eq!(deadline(700, 300), deadline(700, 700));
+    assert_ne!(deadline(300, 300), deadline(700, 700));
+}
+
 #[test]
 fn applies_stricter_idempotency_to_unfinished_requests_where_settings_come_by_consensus() {
     let retries_after_change_to = |idempotency: Idempotency| {
--- a/crates/balancer/tests/memory.rs
+++ b/crates/balancer/tests/memory.rs
@@ -37,6 +37,7 @@
             expected_work: None,
             client_retry: false,
             body_pending: false,
+            policy: None,
         };
         balancer.handle(now, Event::Request(new), &mut actions);
         while let Some(action) = actions.pop() {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -34,7 +34,7 @@
     HEALTH_CHECK_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, MAX_REPLAYABLE_BODY_BYTES,
     READ_BUFFER_BYTES,
 };
-pub use live_settings::LiveSettings;
+pub use live_settings::{LiveSettings, SettingsSnapshot};
 pub use load_report::LoadReportParser;
 pub use memory::{MemoryBudget, MemoryReservation};
 pub use message::Message;
--- a/crates/forwarding/src/node/events.rs
+++ b/crates/forwarding/src/node/events.rs
@@ -8,7 +8,7 @@
     Message, ResponseStarted, StopReason,
 };
 use sillward_balancer::settings::PlatformSettings;
-use sillward_balancer::{AttemptEnd, Event, HealthCheckEnd, RequestId};
+use sillward_balancer::{AttemptEnd, Event, HealthCheckEnd, NewRequest, RequestId};
 use sillward_logging::log_peer;
 use sillward_metrics::EndpointGauges;
 use std::collections::BTreeMap;
@@ -90,6 +90,7 @@
             request.remaining = request.remaining.saturating_sub(queued);
         }
         let in_progress = self.counters.request_started();
+        self.count_older_settings(&request);
         if let Some(observer) = &self.observer {
             observer.request_accepted(self.clock.now(), request.class, request.client_retry);
         }
@@ -100,6 +101,18 @@
         self.remove_if_done(id);
     }
 
+    /// Counts a request if the settings have changed since its head was accepted.
+    fn count_older_settings(&self, request: &NewRequest) {
+        let in_force = || self.balancer.request_policy(request.class);
+        if request
+            .policy
+            .as_ref()
+            .is_some_and(|policy| *policy != in_force())
+        {
+            self.counters.request_under_older_settings();
+        }
+    }
+
     /// Sets the deadline timer early by the timer resolution, so that the client gets the response before it times out.
     fn set_request_deadline(&mut self, id: RequestId, deadline: Duration) {
         let due = deadline.saturating_sub(self.timer_resolution);
--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -24,7 +24,7 @@
 use sillward_balancer::{Idempotency, NewRequest};
 use sillward_forwarding::{
     BodySender, Call, CallProgress, FinalResponse, LiveSettings, MemoryBudget, NodeHandle, Payload,
-    READ_BUFFER_BYTES, StreamingBody,
+    READ_BUFFER_BYTES, SettingsSnapshot, StreamingBody,
 };
 use sillward_listener::{
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, SharedLifecycle,
@@ -134,14 +134,14 @@
         head_scanner: &HeadScanner,
     ) -> Result<Handled, RequestError> {
         let (head, body) = request.into_parts();
-        let settings = self.settings.get();
+        let settings = self.settings.snapshot();
         let framing = body_framing(&head, &body, head_scanner);
         if framing.is_ok() && head.uri.path() == READINESS_PATH {
             return Ok(Handled::Readiness {
                 healthy: self.lifecycle.is_healthy(),
             });
         }
-        let (head, framing) = match check_head(&settings, head, framing) {
+        let (head, framing) = match check_head(&settings.platform, head, framing) {
             Ok(checked) => checked,
             Err(error) => {
                 discard_in_background(body);
@@ -161,7 +161,7 @@
         head: RequestHead,
         framing: Framing,
         body: Incoming,
-        settings: &PlatformSettings,
+        settings: &SettingsSnapshot,
     ) -> Result<Handled, RequestError> {
         let mut body = RequestBody::new(body);
         let (first, streaming) = match body.read_start(framing, &self.budget).await? {
@@ -171,7 +171,7 @@
                 (bytes, Some(streaming))
             }
             BodyStart::OutOfMemory => {
-                return Ok(self.reject_out_of_memory(head.class, body, settings));
+                return Ok(self.reject_out_of_memory(head.class, body, &settings.platform));
             }
         };
         let received_at = self.node.clock().now();
@@ -179,8 +179,8 @@
         let Some(_open_call) = OpenCall::register(&self.open_calls, &head.call_id) else {
             return Err(RequestError::CallIdInUse);
         };
-        let request = new_request(&head);
-        let mut call = new_call(&head, first, connection, received_at, settings);
+        let request = new_request(&head, settings);
+        let mut call = new_call(&head, first, connection, received_at, &settings.platform);
         let response = match streaming {
             None => self.node.submit(request, call, received_at).await,
             Some((streaming_body, sender)) => {
@@ -310,7 +310,7 @@
     Ok((head, framing))
 }
 
-fn new_request(head: &RequestHead) -> NewRequest {
+fn new_request(head: &RequestHead, settings: &SettingsSnapshot) -> NewRequest {
     NewRequest {
         class: head.class,
         tenant: head.tenant,
@@ -318,6 +318,7 @@
         remaining: head.time_budget,
         expected_work: head.expected_work,
         client_retry: head.client_retry,
+        policy: Some(settings.request_policy(head.class)),
         ..NewRequest::default()
     }
 }
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -50,6 +50,7 @@
     classes: RefCell<Vec<ClassCounts>>,
     in_progress: Cell<u64>,
     attempts: Cell<u64>,
+    under_older_settings: Cell<u64>,
     reloads: Cell<u64>,
     reload_errors: Cell<u64>,
 }
@@ -94,6 +95,12 @@
         self.attempts.set(self.attempts.get() + 1);
     }
 
+    /// Counts a request that is decided under the settings of its head, which have been replaced since.
+    pub fn request_under_older_settings(&self) {
+        self.under_older_settings
+            .set(self.under_older_settings.get() + 1);
+    }
+
     /// Counts a configuration reload.
     pub fn config_reloaded(&self, outcome: ReloadOutcome) {
         let count = match outcome {
@@ -124,6 +131,7 @@
             ("skipped_backends", endpoints.avoided as u64),
             ("loads", self.reloads.get()),
             ("load_errors", self.reload_errors.get()),
+            ("older_settings", self.under_older_settings.get()),
         ];
         for (name, count) in totals {
             let _ = writeln!(out, "node.{name}={count}");
--- a/crates/simulator-adapter/src/wire/decode.rs
+++ b/crates/simulator-adapter/src/wire/decode.rs
@@ -179,6 +179,7 @@
         expected_work: has_expected_work.then(|| millis(fields.f64(31))),
         client_retry: flags & FLAG_CLIENT_RETRY != 0,
         body_pending: false,
+        policy: None, // each event is handled under the settings that came before it
     }
 }
 
--- a/crates/simulator-adapter/src/wire/tests.rs
+++ b/crates/simulator-adapter/src/wire/tests.rs
@@ -83,6 +83,7 @@
         expected_work: Some(ms(12.0)),
         client_retry: false,
         body_pending: false,
+        policy: None,
     };
     assert_eq!(
         read(&frame).expect("a valid batch"),
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -9,10 +9,9 @@
 };
 use crate::{BINARY, COMPACT};
 use bytes::Bytes;
-use sillward_balancer::settings::PlatformSettings;
 use sillward_balancer::{Idempotency, NewRequest};
 use sillward_forwarding::{
-    Call, CallProgress, FinalResponse, Payload, ResponseValidator, key_hash,
+    Call, CallProgress, FinalResponse, Payload, ResponseValidator, SettingsSnapshot, key_hash,
 };
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -103,11 +102,12 @@
 /// a backend.
 pub fn validate(
     config: &FrontendConfig,
-    platform: &PlatformSettings,
+    settings: &SettingsSnapshot,
     bytes: Bytes,
     call_id: u128,
     now: Duration,
 ) -> Result<ValidatedCall, InvalidCall> {
+    let platform = &settings.platform;
     let message = read_call_head(config, &bytes)?;
     let protocol_error = |text: &str| invalid_call(&message, ExceptionKind::ProtocolError, text);
     let method = find_method(config, message.head.name)
@@ -191,6 +191,7 @@
         tenant,
         key: station_hash,
         remaining: budget,
+        policy: Some(settings.request_policy(method.class)),
         ..NewRequest::default()
     };
     let context = ReplyContext::of(&message);
--- a/crates/thrift/src/frontend.rs
+++ b/crates/thrift/src/frontend.rs
@@ -287,7 +287,7 @@
         let now = frontend.node.clock().now();
         match calls::validate(
             config,
-            &frontend.settings.get(),
+            &frontend.settings.snapshot(),
             frame,
             frontend.new_call_id(),
             now,
--- a/testing/servers/src/peers.rs
+++ b/testing/servers/src/peers.rs
@@ -136,6 +136,14 @@
             }
         }
     }
+    /// The requests that have come and were not taken yet. Passes over connections that have ended.
+    pub fn requests_so_far(&self) -> Vec<Message> {
+        let requests = self.seen.try_iter().filter_map(|seen| match seen {
+            Seen::Request { message, .. } => Some(message),
+            Seen::Closed { .. } => None,
+        });
+        requests.collect()
+    }
     /// The number of the connection that ends next.
     pub fn closed(&self) -> usize {
         loop {
--- /dev/null
+++ b/tests/request_policy.rs
@@ -0,0 +1,160 @@
+//! A request is decided by the settings under which its head was accepted, whatever is loaded before its last byte. Each
+//! test holds a body back while the settings change.
+
+use sillward_scenarios::peers::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+
+/// The latency objective and the deadline of each class: longer than any request of these tests takes.
+const LONG_MS: u64 = 4_000;
+/// Responses after which the node knows how fast these backends are, and so when a hedged request is due.
+const READS: usize = 150;
+/// How long a client waits for its response. A hedged request would follow after a few milliseconds.
+const BUDGET_MS: u64 = 1_200;
+const BODY: &[u8] = b"a whole sheet";
+const HEDGING: &str = r#","ParallelTries":true"#;
+
+fn class(name: &str, effect: &str) -> String {
+    format!(
+        r#"{{"Name":"{name}","Target":{LONG_MS},"GiveUp":{LONG_MS},"Idempotency":"{effect}","Group":"zone","Window":60000}}"#
+    )
+}
+
+/// Settings with `read` and, unless it is `None`, the class `sheet` with this effect.
+fn settings_with(sheet: Option<&str>, permissions: &str) -> String {
+    let plain = settings(LONG_MS, permissions);
+    let from = plain.find(r#"{"Name":"submit""#).expect("a class");
+    let to = plain.find(r#"],"Projects""#).expect("the classes' end");
+    let sheet = sheet.map_or_else(|| class("other", "free"), |effect| class("sheet", effect));
+    format!("{}{sheet}{}", &plain[..from], &plain[to..])
+}
+
+/// A client whose head the node has accepted and whose body it waits for.
+struct HeldBody(TcpStream);
+
+impl HeldBody {
+    /// The node says `100 Continue` only once it has accepted the head and asks for the body.
+    fn send_head(node: &Node, headers: &str) -> Self {
+        let mut stream = TcpStream::connect(node.address).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let head = format!(
+            "POST /sheet/1f HTTP/1.1\r\nHost: s\r\n{}{headers}Expect: 100-continue\r\nContent-Length: {}\r\n\r\n",
+            common(BUDGET_MS),
+            BODY.len()
+        );
+        stream.write_all(head.as_bytes()).expect("the node reads");
+        let mut told = [0; 25];
+        stream
+            .read_exact(&mut told)
+            .expect("the node asks for the body");
+        assert!(told.starts_with(b"HTTP/1.1 100 "), "{told:?}");
+        HeldBody(stream)
+    }
+
+    /// Sends the body and returns the status of the response.
+    fn finish(mut self) -> u16 {
+        self.0.write_all(BODY).expect("the node reads");
+        let mut line = String::new();
+        BufReader::new(self.0)
+            .read_line(&mut line)
+            .expect("a response");
+        line[9..12].parse().expect("a status")
+    }
+}
+
+/// Two backends that never answer a sheet and answer everything else, and a node that knows their latency.
+fn with_slow_backends(settings: &str) -> (Node, Watch, Discovery, [Backend; 2]) {
+    let backends = [0, 1].map(|_| {
+        Backend::start(|message| match message.start.contains("/sheet/") {
+            true => Reply::Silence,
+            false => ok("figure"),
+        })
+    });
+    let (node, watch, discovery) = serving_operators(settings, &[&backends[0], &backends[1]]);
+    let mut client = node.client();
+    for _ in 0..READS {
+        assert_eq!(client.read().status(), 200);
+    }
+    (node, watch, discovery, backends)
+}
+
+/// The sheets that any of the backends has read.
+fn sheets(backends: &[Backend; 2]) -> Vec<Message> {
+    let all = backends.iter().flat_map(Backend::requests_so_far);
+    all.filter(|message| message.start.contains("/sheet/"))
+        .collect()
+}
+
+fn load(node: &Node, discovery: &Discovery, settings: &str, loads: u64) {
+    node.reload(&config_operated(discovery.address, settings));
+    until(|| node.figure("node.loads") == loads, "the new settings");
+}
+
+/// Guards against a second copy of an unsafe request whose class vanished and appeared as keyed while its body came.
+#[test]
+fn an_unsafe_request_stays_unsafe_when_its_class_vanishes_and_appears_as_keyed() {
+    let first = settings_with(Some("single_shot"), HEDGING);
+    let (node, _watch, discovery, backends) = with_slow_backends(&first);
+    let held = HeldBody::send_head(&node, "");
+    load(&node, &discovery, &settings_with(None, HEDGING), 1);
+    load(
+        &node,
+        &discovery,
+        &settings_with(Some("guarded"), HEDGING),
+        2,
+    );
+    assert!(held.finish() >= 500, "nobody answered it");
+    assert_eq!(sheets(&backends).len(), 1, "it may run once");
+    assert_eq!(node.figure("node.older_settings"), 1);
+}
+
+/// Guards against the same fault where one file changes the class in one step.
+#[test]
+fn an_unsafe_request_stays_unsafe_when_its_class_becomes_keyed_in_one_step() {
+    let first = settings_with(Some("single_shot"), HEDGING);
+    let (node, _watch, discovery, backends) = with_slow_backends(&first);
+    let held = HeldBody::send_head(&node, "");
+    load(
+        &node,
+        &discovery,
+        &settings_with(Some("guarded"), HEDGING),
+        1,
+    );
+    assert!(held.finish() >= 500, "nobody answered it");
+    assert_eq!(sheets(&backends).len(), 1, "it may run once");
+}
+
+/// Guards against the opposite: a keyed request that loses the second copy that its head was promised.
+#[test]
+fn a_keyed_request_stays_keyed_when_its_class_becomes_unsafe() {
+    let first = settings_with(Some("guarded"), HEDGING);
+    let (node, _watch, discovery, backends) = with_slow_backends(&first);
+    let held = HeldBody::send_head(&node, "Idempotency-Key: 77\r\n");
+    load(
+        &node,
+        &discovery,
+        &settings_with(Some("single_shot"), HEDGING),
+        1,
+    );
+    assert!(held.finish() >= 500, "nobody answered it");
+    let sheets = sheets(&backends);
+    assert_eq!(sheets.len(), 2, "the first copy and the hedged one");
+    let keyed = |sheet: &Message| sheet.header("idempotency-key") == Some("77");
+    assert!(sheets.iter().all(keyed), "{sheets:?}");
+}
+
+/// Guards against a limit on attempts and a permission to hedge that are read when the body is whole.
+#[test]
+fn a_request_gets_no_more_attempts_than_its_head_was_accepted_with() {
+    let later = settings_with(Some("guarded"), HEDGING);
+    let one_attempt = later.replacen(r#""AttemptsCap":3"#, r#""AttemptsCap":1"#, 1);
+    let no_copies = settings_with(Some("guarded"), r#","ParallelTries":false"#);
+    for (first, expected) in [(&one_attempt, 1), (&later, 2)] {
+        let (node, _watch, discovery, backends) = with_slow_backends(first);
+        let held = HeldBody::send_head(&node, "Idempotency-Key: 77\r\n");
+        load(&node, &discovery, &no_copies, 1);
+        load(&node, &discovery, &later, 2);
+        assert!(held.finish() >= 500, "nobody answered it");
+        assert_eq!(sheets(&backends).len(), expected);
+    }
+}
