Give every accepted request its response before the process exits

Cause: the shutdown ended 0.55 s and the longest deadline after SIGTERM, whatever was open.

Change: a schedule is fixed at SIGTERM (crates/lifecycle/src/shutdown.rs). A request is accepted only while there is time for its response, also in the middle of its body and on Thrift; later ones are rejected with 503 and run nowhere. The request table ends what is open 50 ms before the exit.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -17,6 +17,7 @@
 use sillward_runtime::Clock;
 use sillward_runtime::net::TcpListener;
 use sillward_runtime::task::spawn_local;
+use sillward_runtime::time::{sleep, timeout_at};
 use sillward_thrift::FrontendConfig;
 use std::cell::RefCell;
 use std::fmt::Display;
@@ -25,6 +26,9 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
+/// The interval at which a process that exits checks whether requests are still open.
+const OPEN_REQUESTS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// What all fronts need.
 pub struct Fronts {
     pub clock: Clock,
@@ -119,15 +123,15 @@
             self.thrift_connections,
             longest(&self.live),
         );
-        let (intake, live, seed) = (self.intake.clone(), self.live.clone(), self.config.seed);
-        let front = sillward_thrift::Frontend::new(
-            intake,
-            live,
-            terms,
-            connections.clone(),
-            self.budget.clone(),
-            seed,
-        );
+        let services = sillward_thrift::NodeServices {
+            node: self.intake.clone(),
+            settings: self.live.clone(),
+            connections: connections.clone(),
+            budget: self.budget.clone(),
+            lifecycle: self.lifecycle.clone(),
+            counters: self.counters.clone(),
+        };
+        let front = sillward_thrift::Frontend::new(services, terms, self.config.seed);
         connections
             .run(
                 front.clone(),
@@ -143,6 +147,24 @@
         Ok(())
     }
 
+    /// Waits until no request is open any more, or until the process must exit. Oneway calls have no connection that would
+    /// wait for them.
+    pub async fn finish_open_requests(&self) {
+        let schedule = self.lifecycle.shutdown_started().await;
+        let all_ended = async {
+            while self.counters.in_progress() > 0 {
+                sleep(OPEN_REQUESTS_CHECK_INTERVAL).await;
+            }
+        };
+        let exits_by = self.lifecycle.instant(schedule.exits_by());
+        if timeout_at(exits_by, all_ended).await.is_err() {
+            let open = self.counters.in_progress();
+            log(format_args!(
+                "{open} requests were still open at the end of the graceful shutdown"
+            ));
+        }
+    }
+
     /// Operators' calls: at the platform's address all of them, at the operator file's the pages of what it turns on.
     /// They are answered until every client has been let go.
     pub async fn admin(
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -275,6 +275,7 @@
         .map_err(|e| format!("cannot listen: {e}"))?;
     log(format_args!("{} listens on {said}", config.name));
 
+    spawn_local(tell_node_of_shutdown(lifecycle.clone(), messages.clone()));
     let clients = config.client_connections - thrift_connections - fleet_connections;
     let client_connections =
         ConnectionManager::new(lifecycle.clone(), clients, fronts::longest(&live));
@@ -306,7 +307,9 @@
                 told,
             )
             .await?;
-        tokio::try_join!(http, thrift).map(drop)
+        tokio::try_join!(http, thrift)?;
+        doors.finish_open_requests().await;
+        Ok(())
     };
     tokio::select! {
         biased;
@@ -316,6 +319,12 @@
     }
 }
 
+/// Tells the node, once the shutdown has started, by when every request must have its final response.
+async fn tell_node_of_shutdown(lifecycle: Rc<SharedLifecycle>, messages: mpsc::Sender<Message>) {
+    let responses_by = lifecycle.shutdown_started().await.responses_by();
+    let _ = messages.send(Message::ShutDown { responses_by }).await; // fails only if the node has ended
+}
+
 /// Until the node is told to end.
 async fn stopped(mut stop: watch::Receiver<bool>) {
     let _ = stop.wait_for(|stopped| *stopped).await; // its teller's end tells so too
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -61,6 +61,17 @@
     pub policy: Option<RequestPolicy>,
 }
 
+impl NewRequest {
+    /// How long after its last byte the client wants the response: the latency objective of its policy, if that is shorter
+    /// than the time for which the client waits.
+    pub fn wanted_within(&self) -> Duration {
+        match &self.policy {
+            Some(policy) => self.remaining.min(policy.class.latency_objective),
+            None => self.remaining,
+        }
+    }
+}
+
 /// The end of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptEnd {
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -31,6 +31,11 @@
         /// Their generation, from [`crate::SettingsLease::next_generation`].
         generation: u64,
     },
+    /// The process is shutting down: every request, open or still to come, has its final response by this time.
+    ShutDown {
+        /// The time on the node's clock.
+        responses_by: Duration,
+    },
     /// Requests the number of backends in the endpoint list, and of those that are ejected.
     EndpointGauges(oneshot::Sender<EndpointGauges>),
 }
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -51,6 +51,8 @@
     counters: Rc<Counters>,
     observer: Option<Rc<dyn NodeObserver>>,
     active_settings: ActiveSettings,
+    /// Set by a shutdown: no request is open beyond it.
+    responses_by: Option<Duration>,
 }
 
 impl Node {
@@ -79,6 +81,7 @@
             counters,
             observer: None,
             active_settings: ActiveSettings::without_lease(),
+            responses_by: None,
         }
     }
 
--- a/crates/forwarding/src/node/events.rs
+++ b/crates/forwarding/src/node/events.rs
@@ -28,6 +28,7 @@
                 settings,
                 generation,
             } => self.on_settings(&settings, generation),
+            Message::ShutDown { responses_by } => self.on_shutdown(responses_by),
             Message::EndpointGauges(sender) => {
                 let _ = sender.send(self.endpoint_gauges()); // fails only if the receiver was dropped
             }
@@ -83,11 +84,14 @@
             response_sender,
         } = accepted;
         let id = request.id;
-        let deadline = call.deadline.get();
+        let deadline = self.before_shutdown(call.deadline.get());
+        call.deadline.set(deadline);
         request.body_pending = call.streaming_body.is_some();
         if !request.body_pending {
             let queued = self.clock.now().saturating_sub(received_at);
             request.remaining = request.remaining.saturating_sub(queued);
+            let left = deadline.saturating_sub(self.clock.now());
+            request.remaining = request.remaining.min(left);
         }
         let in_progress = self.counters.request_started();
         self.count_older_settings(&request);
@@ -113,6 +117,30 @@
         }
     }
 
+    /// A deadline, or the end of the shutdown if that is earlier.
+    fn before_shutdown(&self, deadline: Duration) -> Duration {
+        deadline.min(self.responses_by.unwrap_or(Duration::MAX))
+    }
+
+    /// Ends every open request by the given time: nobody would give its response after the process has exited.
+    fn on_shutdown(&mut self, responses_by: Duration) {
+        self.responses_by = Some(responses_by);
+        let late = |request: &PendingRequest| {
+            request.awaits_response() && request.call.deadline.get() > responses_by
+        };
+        let requests = self.requests.iter();
+        let ids: Vec<RequestId> = requests
+            .filter(|(_, request)| late(request))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            if let Some(request) = self.requests.get(&id) {
+                request.call.deadline.set(responses_by);
+            }
+            self.set_request_deadline(id, responses_by);
+        }
+    }
+
     /// Sets the deadline timer early by the timer resolution, so that the client gets the response before it times out.
     fn set_request_deadline(&mut self, id: RequestId, deadline: Duration) {
         let due = deadline.saturating_sub(self.timer_resolution);
@@ -137,6 +165,7 @@
             return;
         };
         let deadline = received_at + body.time_budget;
+        let deadline = deadline.min(self.responses_by.unwrap_or(Duration::MAX));
         let body_consumed = body.is_consumed();
         request.body_received_at = Some(received_at);
         request.call.deadline.set(deadline);
--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -65,6 +65,22 @@
     BodyUnread(FinalResponse),
 }
 
+/// What became of a request whose body was received while it was open.
+enum StreamedRequest {
+    /// It has its final response; `None` if the node has stopped.
+    Ended(Option<FinalResponse>),
+    /// Its body was not complete in time for a response before the process exits.
+    BodyTooLate,
+}
+
+/// Why a body was not relayed to its end.
+enum BodyFailure {
+    /// The client's fault.
+    Client(RequestError),
+    /// It was not complete in time for a response before the process exits.
+    TooLate,
+}
+
 impl Frontend {
     /// A frontend for the connections of `connections`, which submits requests to `node`.
     pub fn new(
@@ -164,30 +180,45 @@
         settings: &SettingsSnapshot,
     ) -> Result<Handled, RequestError> {
         let mut body = RequestBody::new(body);
-        let (first, streaming) = match body.read_start(framing, &self.budget).await? {
-            BodyStart::Complete(bytes) => (bytes, None),
-            BodyStart::Partial(bytes) => {
+        let request = new_request(&head, settings);
+        let wanted_within = request.wanted_within();
+        let start = tokio::select! {
+            biased;
+            start = body.read_start(framing, &self.budget) => Some(start?),
+            () = self.lifecycle.acceptance_ended(wanted_within) => None,
+        };
+        let accepted = start.filter(|_| self.lifecycle.accepts_request(wanted_within));
+        let (first, streaming) = match accepted {
+            Some(BodyStart::Complete(bytes)) => (bytes, None),
+            Some(BodyStart::Partial(bytes)) => {
                 let streaming = StreamingBody::new(framing.length(), head.time_budget);
                 (bytes, Some(streaming))
             }
-            BodyStart::OutOfMemory => {
-                return Ok(self.reject_out_of_memory(head.class, body, &settings.platform));
+            Some(BodyStart::OutOfMemory) => {
+                return Ok(self.reject_out_of_memory(head.class, body, settings));
             }
+            None => return Ok(self.reject_shutting_down(head.class, body, settings)),
         };
         let received_at = self.node.clock().now();
         // Backends would treat two open requests with the same call ID as one.
         let Some(_open_call) = OpenCall::register(&self.open_calls, &head.call_id) else {
             return Err(RequestError::CallIdInUse);
         };
-        let request = new_request(&head, settings);
         let mut call = new_call(&head, first, connection, received_at, &settings.platform);
         let response = match streaming {
             None => self.node.submit(request, call, received_at).await,
             Some((streaming_body, sender)) => {
                 call.streaming_body = Some(streaming_body);
                 call.deadline.set(received_at + MAX_UPLOAD_TIME);
-                self.submit_streaming(request, call, received_at, &mut body, sender)
+                match self
+                    .submit_streaming(request, call, received_at, &mut body, sender)
                     .await?
+                {
+                    StreamedRequest::Ended(response) => response,
+                    StreamedRequest::BodyTooLate => {
+                        return Ok(self.reject_shutting_down(head.class, body, settings));
+                    }
+                }
             }
         };
         let response = response.unwrap_or(FinalResponse::Failed);
@@ -202,15 +233,41 @@
         &self,
         class: usize,
         body: RequestBody,
-        settings: &PlatformSettings,
+        settings: &SettingsSnapshot,
     ) -> Handled {
         log_peer("rejected a request: the memory budget for bodies is exhausted");
+        self.reject_unsent(class, body, settings)
+    }
+
+    /// Rejects a request that is whole too late for a response before the process exits, or whose body would be.
+    fn reject_shutting_down(
+        &self,
+        class: usize,
+        body: RequestBody,
+        settings: &SettingsSnapshot,
+    ) -> Handled {
+        log_peer("rejected a request: it is too late for a response before the process exits");
+        self.counters.rejected_by_shutdown();
+        self.reject_unsent(class, body, settings)
+    }
+
+    /// Rejects a request of which no backend has received the last byte.
+    fn reject_unsent(
+        &self,
+        class: usize,
+        body: RequestBody,
+        settings: &SettingsSnapshot,
+    ) -> Handled {
         self.counters.request_ended(class, RequestOutcome::Rejected);
-        discard_in_background(body.into_unread());
-        Handled::BodyUnread(FinalResponse::Rejected {
-            retry_after: settings.settings.limits.max_retry_after,
+        let rejected = FinalResponse::Rejected {
+            retry_after: settings.platform.settings.limits.max_retry_after,
             never_ran: true,
-        })
+        };
+        if body.is_ended() {
+            return Handled::Complete(rejected);
+        }
+        discard_in_background(body.into_unread());
+        Handled::BodyUnread(rejected)
     }
 
     /// Submits a request while its body is still being received.
@@ -221,7 +278,8 @@
         received_at: Duration,
         body: &mut RequestBody,
         sender: BodySender,
-    ) -> Result<Option<FinalResponse>, RequestError> {
+    ) -> Result<StreamedRequest, RequestError> {
+        let wanted_within = request.wanted_within();
         let (body_received_sender, body_received) = oneshot::channel();
         let body_received = async {
             match body_received.await {
@@ -232,38 +290,39 @@
         let response = self
             .node
             .submit_streaming(request, call, received_at, body_received);
-        // If the body fails, dropping the submission tells the node that the client has disconnected.
+        let relay = async {
+            tokio::select! {
+                biased;
+                relayed = relay_body(body, &sender) => relayed.map_err(BodyFailure::Client)?,
+                () = self.lifecycle.acceptance_ended(wanted_within) => return Err(BodyFailure::TooLate),
+            }
+            let _ = body_received_sender.send(self.node.clock().now()); // fails if the request has its final response
+            sender.finish().await;
+            std::future::pending().await
+        };
+        // If the body fails, dropping the submission tells the node that the client has disconnected. No backend has received
+        // the last byte then.
         tokio::select! {
             biased;
-            response = response => Ok(response),
-            error = self.relay_body(body, sender, body_received_sender) => Err(error),
+            response = response => Ok(StreamedRequest::Ended(response)),
+            failure = relay => match failure {
+                Ok(response) => Ok(response),
+                Err(BodyFailure::Client(error)) => Err(error),
+                Err(BodyFailure::TooLate) => Ok(StreamedRequest::BodyTooLate),
+            },
         }
     }
+}
 
-    /// Relays a body while it is received, and reports when it is complete. Returns only if the body fails.
-    async fn relay_body(
-        &self,
-        body: &mut RequestBody,
-        sender: BodySender,
-        body_received: oneshot::Sender<Duration>,
-    ) -> RequestError {
-        loop {
-            match body.next().await {
-                Ok(Some(bytes)) => {
-                    if !sender.send(bytes).await {
-                        break; // the attempt has ended, and its response follows
-                    }
-                }
-                Ok(None) => {
-                    let _ = body_received.send(self.node.clock().now()); // fails if the request has its final response
-                    sender.finish().await;
-                    break;
-                }
-                Err(error) => return error,
-            }
+/// Relays a body while it is received, up to its end. Does not return if the attempt that takes it has ended: its response
+/// follows.
+async fn relay_body(body: &mut RequestBody, sender: &BodySender) -> Result<(), RequestError> {
+    while let Some(bytes) = body.next().await? {
+        if !sender.send(bytes).await {
+            std::future::pending().await
         }
-        std::future::pending().await
     }
+    Ok(())
 }
 
 impl ConnectionHandler for Frontend {
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -5,6 +5,9 @@
 //! start.
 #![forbid(unsafe_code)]
 
+mod shutdown;
+
+pub use shutdown::ShutdownSchedule;
 use std::time::Duration;
 
 /// An event in the lifecycle of a node.
--- a/crates/listener/src/manager.rs
+++ b/crates/listener/src/manager.rs
@@ -3,12 +3,12 @@
 use crate::connection::ClientConnection;
 use crate::eviction::{CLOSE_GRACE, evict_connection};
 use crate::lifecycle::{ACCEPT_PERIOD, LAST_REQUEST_PERIOD, SharedLifecycle};
-use sillward_lifecycle::Event;
+use sillward_lifecycle::ShutdownSchedule;
 use sillward_logging::{log, log_peer};
 use sillward_runtime::Stream;
 use sillward_runtime::net::{TcpListener, TcpStream};
 use sillward_runtime::task::spawn_local;
-use sillward_runtime::time::{Instant, sleep, timeout};
+use sillward_runtime::time::{Instant, sleep, timeout, timeout_at};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -59,7 +59,7 @@
 pub struct ConnectionManager {
     lifecycle: Rc<SharedLifecycle>,
     last_id: Cell<ConnectionId>,
-    /// Returns the maximum duration of a request under the current settings.
+    /// Returns the longest time that a request is meant to take under the current settings.
     max_request_duration: Box<dyn Fn() -> Duration>,
     connections: RefCell<BTreeMap<ConnectionId, Rc<ClientConnection>>>,
     max_connections: Cell<usize>,
@@ -71,7 +71,7 @@
 }
 
 impl ConnectionManager {
-    /// Creates a manager of at most `max_connections` connections. Every request has its response within
+    /// Creates a manager of at most `max_connections` connections. No request is meant to take longer than
     /// `max_request_duration`.
     pub fn new(
         lifecycle: Rc<SharedLifecycle>,
@@ -121,8 +121,8 @@
     }
 
     /// Serves clients until `shutdown` completes, then shuts down gracefully: accepts new connections for a limited time,
-    /// lets requests get their responses, and closes the connections. Returns when all connections have ended, or after the
-    /// maximum duration of a request.
+    /// lets requests get their responses, and closes the connections. Returns when all connections have ended, or at the end
+    /// of the shutdown's schedule.
     pub async fn run<H: ConnectionHandler>(
         self: Rc<Self>,
         handler: Rc<H>,
@@ -138,7 +138,7 @@
             () = self.accept_connections(&handler, &listener) => {}
         }
         log("told to stop: no longer ready, finishing open requests");
-        self.lifecycle.handle(Event::ShutDown);
+        let schedule = self.lifecycle.shut_down((self.max_request_duration)());
         self.serve_pending(&handler);
         match ownership {
             ListenerOwnership::Exclusive => {
@@ -152,7 +152,7 @@
             }
         }
         sleep(LAST_REQUEST_PERIOD).await;
-        self.close_all().await;
+        self.close_all(schedule).await;
     }
 
     /// Accepts the connections that the platform still sends, and then those in the accept queue. A queued connection may
@@ -169,9 +169,9 @@
         }
     }
 
-    /// Requests the close of all connections and waits until they have ended. Every request has its response by its
-    /// deadline, so a client that is still connected after that has sent no more than part of a request.
-    async fn close_all(&self) {
+    /// Requests the close of all connections and waits until they have ended, or until the process must exit. Every request
+    /// that was accepted has its response before that, so a client that is still connected has sent no more than part of one.
+    async fn close_all(&self, schedule: ShutdownSchedule) {
         self.connections
             .borrow()
             .values()
@@ -181,9 +181,12 @@
                 self.capacity_changed.notified().await;
             }
         };
-        let max_request_duration = (self.max_request_duration)();
-        if timeout(max_request_duration, all_ended).await.is_err() {
-            log("client connections were still open at the end of the graceful shutdown");
+        let exits_by = self.lifecycle.instant(schedule.exits_by());
+        if timeout_at(exits_by, all_ended).await.is_err() {
+            log(format_args!(
+                "{} client connections were still open at the end of the graceful shutdown",
+                self.connection_count()
+            ));
         }
     }
 
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -51,6 +51,7 @@
     in_progress: Cell<u64>,
     attempts: Cell<u64>,
     under_older_settings: Cell<u64>,
+    rejected_by_shutdown: Cell<u64>,
     reloads: Cell<u64>,
     reload_errors: Cell<u64>,
 }
@@ -101,6 +102,17 @@
             .set(self.under_older_settings.get() + 1);
     }
 
+    /// Counts a request that was rejected because the process shuts down; it is also counted by its outcome.
+    pub fn rejected_by_shutdown(&self) {
+        self.rejected_by_shutdown
+            .set(self.rejected_by_shutdown.get() + 1);
+    }
+
+    /// The number of requests without a final response.
+    pub fn in_progress(&self) -> u64 {
+        self.in_progress.get()
+    }
+
     /// Counts a configuration reload.
     pub fn config_reloaded(&self, outcome: ReloadOutcome) {
         let count = match outcome {
@@ -132,6 +144,7 @@
             ("loads", self.reloads.get()),
             ("load_errors", self.reload_errors.get()),
             ("older_settings", self.under_older_settings.get()),
+            ("shutdown_refused", self.rejected_by_shutdown.get()),
         ];
         for (name, count) in totals {
             let _ = writeln!(out, "node.{name}={count}");
--- a/crates/thrift/src/frontend.rs
+++ b/crates/thrift/src/frontend.rs
@@ -7,12 +7,15 @@
 };
 use bytes::Bytes;
 use sillward_forwarding::{
-    FinalResponse, LiveSettings, MemoryBudget, MemoryReservation, NodeHandle, READ_BUFFER_BYTES,
+    Call, FinalResponse, LiveSettings, MemoryBudget, MemoryReservation, NodeHandle,
+    READ_BUFFER_BYTES,
 };
 use sillward_listener::{
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, READ_TIMEOUT,
+    SharedLifecycle,
 };
 use sillward_logging::log_peer;
+use sillward_metrics::{Counters, RequestOutcome};
 use sillward_runtime::Stream;
 use sillward_runtime::random::Random;
 use sillward_runtime::task::{JoinSet, spawn_local};
@@ -37,29 +40,50 @@
     settings: Rc<LiveSettings>,
     config: FrontendConfig,
     connections: Rc<ConnectionManager>,
+    lifecycle: Rc<SharedLifecycle>,
+    counters: Rc<Counters>,
     /// The memory for frames.
     budget: MemoryBudget,
     random: RefCell<Random>,
     oneway_calls: Cell<u64>,
 }
 
+/// What a frontend uses of the node.
+pub struct NodeServices {
+    /// Takes requests.
+    pub node: NodeHandle,
+    /// The settings by which calls are read.
+    pub settings: Rc<LiveSettings>,
+    /// The connections that the frontend serves.
+    pub connections: Rc<ConnectionManager>,
+    /// The memory for frames.
+    pub budget: MemoryBudget,
+    /// Whether calls are still accepted.
+    pub lifecycle: Rc<SharedLifecycle>,
+    /// The node's counters.
+    pub counters: Rc<Counters>,
+}
+
 impl Frontend {
-    pub fn new(
-        node: NodeHandle,
-        settings: Rc<LiveSettings>,
-        config: FrontendConfig,
-        connections: Rc<ConnectionManager>,
-        budget: MemoryBudget,
-        seed: u64,
-    ) -> Rc<Self> {
-        let random = RefCell::new(Random::seeded(seed.rotate_left(32)));
+    /// A frontend for the connections of the node's listener for Thrift. `seed` initialises the generator of call IDs.
+    pub fn new(services: NodeServices, config: FrontendConfig, seed: u64) -> Rc<Self> {
+        let NodeServices {
+            node,
+            settings,
+            connections,
+            budget,
+            lifecycle,
+            counters,
+        } = services;
         Rc::new(Frontend {
             node,
             settings,
             config,
             connections,
+            lifecycle,
+            counters,
             budget,
-            random,
+            random: RefCell::new(Random::seeded(seed.rotate_left(32))),
             oneway_calls: Cell::new(0),
         })
     }
@@ -292,6 +316,13 @@
             frontend.new_call_id(),
             now,
         ) {
+            Ok(ValidatedCall {
+                request,
+                call,
+                context,
+            }) if !frontend.lifecycle.accepts_request(request.wanted_within()) => {
+                self.reject_shutting_down(&call, &context);
+            }
             Ok(ValidatedCall { request, call, .. }) if !call.expects_response => {
                 frontend.oneway_calls.set(frontend.oneway_calls.get() + 1);
                 // The client may disconnect at once, which doesn't cancel a oneway call.
@@ -331,6 +362,28 @@
         }
     }
 
+    /// Rejects a call that is too late for a response before the process exits.
+    fn reject_shutting_down(&mut self, call: &Call, context: &ReplyContext) {
+        log_peer("rejected a call: it is too late for a response before the process exits");
+        let counters = &self.frontend.counters;
+        counters.rejected_by_shutdown();
+        counters.request_ended(call.class, RequestOutcome::Rejected);
+        if call.expects_response {
+            let frame = self.rejection(context);
+            self.queue_reply(frame, None);
+        }
+    }
+
+    /// The reply to a call that was not submitted.
+    fn rejection(&self, context: &ReplyContext) -> Vec<u8> {
+        let retry_after = self.frontend.settings.get().settings.limits.max_retry_after;
+        let rejected = FinalResponse::Rejected {
+            retry_after,
+            never_ran: true,
+        };
+        calls::encode_response(&self.frontend.config, context, rejected)
+    }
+
     fn reject_invalid(&mut self, invalid: InvalidCall) {
         if let Some(frame) = invalid.reply_frame {
             self.queue_reply(frame, None);
@@ -350,16 +403,7 @@
                 match calls::read_call_head(&self.frontend.config, begin) {
                     Ok(message) => {
                         log_peer("rejected a call: no memory for its frame");
-                        let context = ReplyContext::of(&message);
-                        let after = self.frontend.settings.get().settings.limits.max_retry_after;
-                        let rejected = FinalResponse::Rejected {
-                            retry_after: after,
-                            never_ran: true,
-                        };
-                        (
-                            calls::encode_response(&self.frontend.config, &context, rejected),
-                            false,
-                        )
+                        (self.rejection(&ReplyContext::of(&message)), false)
                     }
                     Err(invalid) => return self.reject_invalid(invalid),
                 }
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -14,7 +14,7 @@
 pub use config::{
     BackendConfig, FrontendConfig, HttpCallMapping, Method, RejectedReply, ReplyOrder,
 };
-pub use frontend::Frontend;
+pub use frontend::{Frontend, NodeServices};
 
 use sillward_forwarding::PayloadFormat;
 
--- a/testing/scenarios/src/lib.rs
+++ b/testing/scenarios/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod pages;
 pub mod scenario;
 
-pub use sillward_test_servers::{etcd, ledger, peers, random, relay, tally};
+pub use sillward_test_servers::{etcd, held_request, ledger, peers, random, relay, tally};
--- a/testing/servers/src/lib.rs
+++ b/testing/servers/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod etcd;
+pub mod held_request;
 pub mod ledger;
 pub mod peers;
 pub mod random;
--- a/tests/request_policy.rs
+++ b/tests/request_policy.rs
@@ -1,9 +1,8 @@
 //! A request is decided by the settings under which its head was accepted, whatever is loaded before its last byte. Each
 //! test holds a body back while the settings change.
 
+use sillward_scenarios::held_request::HeldRequest;
 use sillward_scenarios::peers::*;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
 
 /// The latency objective and the deadline of each class: longer than any request of these tests takes.
 const LONG_MS: u64 = 4_000;
@@ -11,7 +10,7 @@
 const READS: usize = 150;
 /// How long a client waits for its response. A hedged request would follow after a few milliseconds.
 const BUDGET_MS: u64 = 1_200;
-const BODY: &[u8] = b"a whole sheet";
+const BODY_BYTES: usize = 13;
 const HEDGING: &str = r#","ParallelTries":true"#;
 
 fn class(name: &str, effect: &str) -> String {
@@ -29,37 +28,15 @@
     format!("{}{sheet}{}", &plain[..from], &plain[to..])
 }
 
-/// A client whose head the node has accepted and whose body it waits for.
-struct HeldBody(TcpStream);
-
-impl HeldBody {
-    /// The node says `100 Continue` only once it has accepted the head and asks for the body.
-    fn send_head(node: &Node, headers: &str) -> Self {
-        let mut stream = TcpStream::connect(node.address).expect("the node accepts");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let head = format!(
-            "POST /sheet/1f HTTP/1.1\r\nHost: s\r\n{}{headers}Expect: 100-continue\r\nContent-Length: {}\r\n\r\n",
-            common(BUDGET_MS),
-            BODY.len()
-        );
-        stream.write_all(head.as_bytes()).expect("the node reads");
-        let mut told = [0; 25];
-        stream
-            .read_exact(&mut told)
-            .expect("the node asks for the body");
-        assert!(told.starts_with(b"HTTP/1.1 100 "), "{told:?}");
-        HeldBody(stream)
-    }
+/// A sheet whose head the node has accepted and whose body it waits for.
+fn send_head(node: &Node, headers: &str) -> HeldRequest {
+    HeldRequest::send(node, "sheet", BUDGET_MS, headers, (0, BODY_BYTES))
+}
 
-    /// Sends the body and returns the status of the response.
-    fn finish(mut self) -> u16 {
-        self.0.write_all(BODY).expect("the node reads");
-        let mut line = String::new();
-        BufReader::new(self.0)
-            .read_line(&mut line)
-            .expect("a response");
-        line[9..12].parse().expect("a status")
-    }
+/// Completes a sheet that no backend answers, and waits for its end.
+fn finish_unanswered(held: HeldRequest) {
+    let status = held.finish().status().expect("a response");
+    assert!(status >= 500, "{status}: nobody answered it");
 }
 
 /// Two backends that never answer a sheet and answer everything else, and a node that knows their latency.
@@ -95,7 +72,7 @@
 fn an_unsafe_request_stays_unsafe_when_its_class_vanishes_and_appears_as_keyed() {
     let first = settings_with(Some("single_shot"), HEDGING);
     let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = HeldBody::send_head(&node, "");
+    let held = send_head(&node, "");
     load(&node, &discovery, &settings_with(None, HEDGING), 1);
     load(
         &node,
@@ -103,7 +80,7 @@
         &settings_with(Some("guarded"), HEDGING),
         2,
     );
-    assert!(held.finish() >= 500, "nobody answered it");
+    finish_unanswered(held);
     assert_eq!(sheets(&backends).len(), 1, "it may run once");
     assert_eq!(node.figure("node.older_settings"), 1);
 }
@@ -113,14 +90,14 @@
 fn an_unsafe_request_stays_unsafe_when_its_class_becomes_keyed_in_one_step() {
     let first = settings_with(Some("single_shot"), HEDGING);
     let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = HeldBody::send_head(&node, "");
+    let held = send_head(&node, "");
     load(
         &node,
         &discovery,
         &settings_with(Some("guarded"), HEDGING),
         1,
     );
-    assert!(held.finish() >= 500, "nobody answered it");
+    finish_unanswered(held);
     assert_eq!(sheets(&backends).len(), 1, "it may run once");
 }
 
@@ -129,14 +106,14 @@
 fn a_keyed_request_stays_keyed_when_its_class_becomes_unsafe() {
     let first = settings_with(Some("guarded"), HEDGING);
     let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = HeldBody::send_head(&node, "Idempotency-Key: 77\r\n");
+    let held = send_head(&node, "Idempotency-Key: 77\r\n");
     load(
         &node,
         &discovery,
         &settings_with(Some("single_shot"), HEDGING),
         1,
     );
-    assert!(held.finish() >= 500, "nobody answered it");
+    finish_unanswered(held);
     let sheets = sheets(&backends);
     assert_eq!(sheets.len(), 2, "the first copy and the hedged one");
     let keyed = |sheet: &Message| sheet.header("idempotency-key") == Some("77");
@@ -151,10 +128,10 @@
     let no_copies = settings_with(Some("guarded"), r#","ParallelTries":false"#);
     for (first, expected) in [(&one_attempt, 1), (&later, 2)] {
         let (node, _watch, discovery, backends) = with_slow_backends(first);
-        let held = HeldBody::send_head(&node, "Idempotency-Key: 77\r\n");
+        let held = send_head(&node, "Idempotency-Key: 77\r\n");
         load(&node, &discovery, &no_copies, 1);
         load(&node, &discovery, &later, 2);
-        assert!(held.finish() >= 500, "nobody answered it");
+        finish_unanswered(held);
         assert_eq!(sheets(&backends).len(), expected);
     }
 }
