End a process that waits to take another's place when it is told to

What operators saw, or would have: a new process that could not serve yet did not end at SIGTERM, only at SIGKILL.

Cause: with an inherited listener the process accepts nothing until it can serve, and that wait ended by readiness or an operator's call alone.

Change: the wait ends with the request to shut down too; the listener's own shutdown follows, which takes nothing from the shared queue.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -101,7 +101,11 @@
         let shared = self.config.listen_fd.is_some();
         if shared {
             // Another process takes from the same queue, and can serve what this one would keep waiting.
-            self.lifecycle.wait_until_serving_or_draining().await;
+            tokio::select! {
+                biased;
+                () = self.told_to_stop() => {}
+                () = self.lifecycle.wait_until_serving_or_draining() => {}
+            }
         }
         let ownership = if shared {
             ListenerOwnership::Shared
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -4,6 +4,7 @@
 use sillward_scenarios::held_request::HeldRequest;
 use sillward_scenarios::peers::*;
 use sillward_scenarios::tally::{self, BINARY, Caller, End, Tally, origin};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// The latency objective and the deadline of each class. The process exits 1.55 s after SIGTERM at the latest.
@@ -144,3 +145,18 @@
         "each call that ran has its reply; {rejected} were rejected"
     );
 }
+
+/// Guards against a process that waits to take another's place, can't serve yet, and never ends when it is told to.
+#[test]
+fn a_process_that_waits_to_take_the_place_of_another_ends_when_it_is_told_to() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &settings(DEADLINE_MS, ""), 1024)
+        .replace("127.0.0.1:0", &address);
+    let mut node = Node::inheriting(&listener, &config, &[]);
+    let unanswered = discovery.call();
+    node.terminate();
+    assert!(node.exit().success());
+    drop(unanswered);
+}
