Admit requests by permits, so that no request waits for a second place

Cause: each open request held a place in the node's bounded queue, for the news of its client's leaving, and waited for a second place to be submitted. Once 4096 held one, none got another, and results, settings, lists and operators' calls waited behind them. Oneway calls were tasks that outlived their connection and that no limit counted.

Change: a request is admitted with a permit that it holds until the request table has removed it (crates/forwarding/src/request_limit.rs). Messages about admitted requests never wait; the permits bound their queue. All other messages have a bounded queue of their own, which is handled first. Oneway calls count for calls_in_flight and for oneway_calls (1024 calls; more wait, unread). Calls with a reply have open_calls (4096; more are rejected), HTTP requests a limit of their own. New figures: limit_refused, queued_messages. The test servers find a node's addresses in whatever order its log names them.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -6,7 +6,7 @@
 use sillward_admin::{AdminServer, PostRoute, Reply, Route};
 use sillward_consensus_io::ConsensusService;
 use sillward_endpoints::MergedEndpoints;
-use sillward_forwarding::{LiveSettings, MemoryBudget, Message, NodeHandle};
+use sillward_forwarding::{LiveSettings, MemoryBudget, Message, NodeHandle, RequestLimit};
 use sillward_hot_restart::Resources;
 use sillward_listener::{ConnectionManager, ListenerOwnership, SharedLifecycle};
 use sillward_logging::log;
@@ -42,6 +42,8 @@
     pub client_connections: Rc<ConnectionManager>,
     pub sockets: Rc<ConnectionLimit>,
     pub budget: MemoryBudget,
+    /// HTTP requests that may be open.
+    pub limit: RequestLimit,
     pub stop: watch::Receiver<bool>,
     /// How many of the client connections are Thrift callers'.
     pub thrift_connections: usize,
@@ -95,6 +97,7 @@
             self.live.clone(),
             connections.clone(),
             self.budget.clone(),
+            self.limit.clone(),
             self.lifecycle.clone(),
             self.counters.clone(),
         );
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -16,7 +16,7 @@
 use sillward_consensus_io::ConsensusService;
 use sillward_forwarding::{
     BackendProtocol, LiveSettings, LoadReportParser, MemoryBudget, Message, Node, NodeGauges,
-    NodeHandle, ProtocolDispatcher, SettingsLease, SettingsSnapshot,
+    ProtocolDispatcher, RequestLimit, SettingsLease, SettingsSnapshot,
 };
 use sillward_listener::{ConnectionManager, SharedLifecycle};
 use sillward_logging::log;
@@ -31,8 +31,11 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc, watch};
 
-/// Messages to the node that may wait. Each client connection keeps one place for its leaving.
-const MESSAGES: usize = 4096;
+/// Messages to the node about other things than requests that may wait.
+const MESSAGES: usize = 256;
+/// HTTP requests that may be open. A connection has one at a time; another one of its may still have an attempt in flight.
+const MIN_OPEN_REQUESTS: usize = 4096;
+const OPEN_REQUESTS_PER_CONNECTION: usize = 2;
 
 /// What a node is told from outside while it runs.
 pub struct Controls {
@@ -254,7 +257,7 @@
         fleet: fleet.clone(),
         council: council.clone(),
     });
-    let intake = NodeHandle::new(clock, messages.clone());
+    let intake = node.handle();
     let mut node = spawn_local(node.run(inbox));
     let lifecycle = SharedLifecycle::new(clock, sources.discovery.ready());
     let mut discovery = spawn_local(sources.discovery.run(discovery_orders, moved));
@@ -290,6 +293,7 @@
         counters,
         live,
         budget,
+        limit: RequestLimit::new(MIN_OPEN_REQUESTS.max(clients * OPEN_REQUESTS_PER_CONNECTION)),
         stop: controls.stop.clone(),
         thrift_connections,
     };
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -22,6 +22,7 @@
 mod payload;
 mod protocol;
 mod protocol_dispatcher;
+mod request_limit;
 mod response;
 mod settings_lease;
 
@@ -37,12 +38,13 @@
 pub use live_settings::{LiveSettings, SettingsSnapshot};
 pub use load_report::LoadReportParser;
 pub use memory::{MemoryBudget, MemoryReservation};
-pub use message::Message;
+pub use message::{Message, RequestMessage};
 pub use node::{Node, NodeGauges};
 pub use node_handle::{AcceptedRequest, NodeHandle};
 pub use observer::{AttemptTimes, NodeObserver};
 pub use payload::{Payload, PayloadFormat};
 pub use protocol::{BackendProtocol, LocalBoxFuture};
 pub use protocol_dispatcher::ProtocolDispatcher;
+pub use request_limit::{RequestLimit, RequestPermit};
 pub use response::{FinalResponse, ResponseStarted};
 pub use settings_lease::SettingsLease;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// A message to the node.
-pub enum Message {
+/// A message about one request. There are only a few of each open request, so their queue has no limit of its own: see
+/// [`crate::RequestLimit`].
+pub enum RequestMessage {
     /// A front end has accepted a request.
-    Request(Box<AcceptedRequest>),
+    New(Box<AcceptedRequest>),
     /// A client has disconnected before its final response.
     ClientDisconnected(RequestId),
     /// The last byte of a streamed request body was received at the given time.
@@ -20,6 +21,11 @@
     ResponseStarted(ResponseStarted),
     /// An attempt has ended.
     AttemptEnded(AttemptResult),
+}
+
+/// A message about the node as a whole. Its queue is bounded and handled first, so that requests, however many, delay neither
+/// settings nor endpoint lists.
+pub enum Message {
     /// A health check has ended.
     HealthChecked(HealthCheckResult),
     /// The endpoint list has changed.
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -9,7 +9,10 @@
 mod pending_request;
 mod timers;
 
-use crate::{BackendProtocol, DiscoveryCommand, Message, NodeObserver, SettingsLease};
+use crate::{
+    BackendProtocol, DiscoveryCommand, Message, NodeHandle, NodeObserver, RequestMessage,
+    SettingsLease,
+};
 use active_settings::ActiveSettings;
 use pending_request::PendingRequest;
 use sillward_balancer::{Balancer, Event, RequestId, Settings};
@@ -40,6 +43,8 @@
     balancer: Balancer,
     backends: Rc<dyn BackendProtocol>,
     messages: mpsc::Sender<Message>,
+    request_messages: mpsc::UnboundedSender<RequestMessage>,
+    request_inbox: mpsc::UnboundedReceiver<RequestMessage>,
     discovery: mpsc::Sender<DiscoveryCommand>,
     timer_resolution: Duration,
     max_attempts: usize,
@@ -66,10 +71,13 @@
         discovery: mpsc::Sender<DiscoveryCommand>,
         counters: Rc<Counters>,
     ) -> Self {
+        let (request_messages, request_inbox) = mpsc::unbounded_channel();
         Node {
             clock,
             backends,
             messages,
+            request_messages,
+            request_inbox,
             discovery,
             timer_resolution: settings.timer_resolution,
             max_attempts: max_attempts(&settings),
@@ -98,17 +106,23 @@
         Node { observer, ..self }
     }
 
+    /// A handle by which front ends submit requests to this node.
+    pub fn handle(&self) -> NodeHandle {
+        NodeHandle::new(self.clock, self.request_messages.clone())
+    }
+
     /// The gauges of this node.
     pub fn gauges(&self) -> Rc<NodeGauges> {
         self.gauges.clone()
     }
 
-    /// Runs the event loop until all senders of messages are dropped.
+    /// Runs the event loop for as long as the process runs.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
         loop {
             let due = self.timers.next_due();
             let wait = sleep_until(self.clock.instant(due.unwrap_or_default()));
-            // Both branches are cancel safe: a message that was not received stays in the channel.
+            // All branches are cancel safe: a message that was not received stays in its channel. Settings that were sent
+            // before a request are handled before it, since they are in the channel that is polled first.
             tokio::select! {
                 biased;
                 message = inbox.recv() => match message {
@@ -118,11 +132,16 @@
                     }
                     None => return,
                 },
+                Some(message) = self.request_inbox.recv() => {
+                    self.check_settings_lease();
+                    self.on_request_message(message);
+                }
                 () = wait, if due.is_some() => {}
             }
             self.check_settings_lease();
             self.fire_due_timers();
             self.gauges.requests.set(self.requests.len());
+            self.counters.set_queued_messages(self.request_inbox.len());
             self.gauges.timers.set(self.timers.len());
         }
     }
--- a/crates/forwarding/src/node/actions.rs
+++ b/crates/forwarding/src/node/actions.rs
@@ -5,7 +5,7 @@
 use super::timers::TimerKind;
 use crate::{
     Attempt, AttemptResult, DiscoveryCommand, FinalResponse, HealthCheckResponse,
-    HealthCheckResult, LocalBoxFuture, Message, ResponseStarted, StopReason,
+    HealthCheckResult, LocalBoxFuture, Message, RequestMessage, ResponseStarted, StopReason,
 };
 use sillward_balancer::{Action, AttemptEnd, Event, Outcome, RequestId, ServerId};
 use sillward_logging::log;
@@ -92,7 +92,11 @@
         self.set_timer(attempt_deadline, TimerKind::AttemptDeadline(id, number));
         self.gauges.attempts.set(self.gauges.attempts.get() + 1);
         let result = self.backends.clone().attempt(attempt, stopped);
-        spawn_local(report_attempt(result, started, self.messages.clone()));
+        spawn_local(report_attempt(
+            result,
+            started,
+            self.request_messages.clone(),
+        ));
         None
     }
 
@@ -148,14 +152,14 @@
 async fn report_attempt(
     mut result: LocalBoxFuture<AttemptResult>,
     started: oneshot::Receiver<ResponseStarted>,
-    messages: mpsc::Sender<Message>,
+    messages: mpsc::UnboundedSender<RequestMessage>,
 ) {
     // The attempt is polled by reference because it continues after its response has started.
     let early = tokio::select! {
         biased;
         result = &mut result => Some(result),
         Ok(started) = started => {
-            let _ = messages.send(Message::ResponseStarted(started)).await;
+            let _ = messages.send(RequestMessage::ResponseStarted(started));
             None
         }
     };
@@ -163,5 +167,5 @@
         Some(result) => result,
         None => result.await,
     };
-    let _ = messages.send(Message::AttemptEnded(result)).await; // fails only if the node has ended
+    let _ = messages.send(RequestMessage::AttemptEnded(result)); // fails only if the node has ended
 }
--- a/crates/forwarding/src/node/events.rs
+++ b/crates/forwarding/src/node/events.rs
@@ -5,7 +5,7 @@
 use super::timers::TimerKind;
 use crate::{
     AcceptedRequest, AttemptResult, AttemptTimes, BackendUpdate, FinalResponse, HealthCheckResult,
-    Message, ResponseStarted, StopReason,
+    Message, RequestMessage, ResponseStarted, StopReason,
 };
 use sillward_balancer::settings::PlatformSettings;
 use sillward_balancer::{AttemptEnd, Event, HealthCheckEnd, NewRequest, RequestId};
@@ -15,13 +15,20 @@
 use std::time::Duration;
 
 impl Node {
+    pub(super) fn on_request_message(&mut self, message: RequestMessage) {
+        match message {
+            RequestMessage::New(accepted) => self.on_request(*accepted),
+            RequestMessage::ClientDisconnected(id) => self.on_client_disconnected(id),
+            RequestMessage::BodyReceived(id, received_at) => {
+                self.on_body_received(id, received_at);
+            }
+            RequestMessage::ResponseStarted(started) => self.on_response_started(started),
+            RequestMessage::AttemptEnded(result) => self.on_attempt_ended(result),
+        }
+    }
+
     pub(super) fn on_message(&mut self, message: Message) {
         match message {
-            Message::Request(accepted) => self.on_request(*accepted),
-            Message::ClientDisconnected(id) => self.on_client_disconnected(id),
-            Message::BodyReceived(id, received_at) => self.on_body_received(id, received_at),
-            Message::ResponseStarted(started) => self.on_response_started(started),
-            Message::AttemptEnded(result) => self.on_attempt_ended(result),
             Message::HealthChecked(result) => self.on_health_checked(result),
             Message::EndpointList(update) => self.on_endpoint_list(update),
             Message::Settings {
@@ -82,6 +89,7 @@
             received_at,
             call,
             response_sender,
+            permit,
         } = accepted;
         let id = request.id;
         let deadline = self.before_shutdown(call.deadline.get());
@@ -98,7 +106,7 @@
         if let Some(observer) = &self.observer {
             observer.request_accepted(self.clock.now(), request.class, request.client_retry);
         }
-        let pending = PendingRequest::new(call, received_at, response_sender, in_progress);
+        let pending = PendingRequest::new(call, received_at, response_sender, in_progress, permit);
         self.requests.insert(id, pending);
         self.set_request_deadline(id, deadline);
         self.handle_event(Event::Request(request));
--- a/crates/forwarding/src/node/pending_request.rs
+++ b/crates/forwarding/src/node/pending_request.rs
@@ -1,7 +1,7 @@
 //! A request in the request table: the state of its final response and of its attempts.
 
 use super::timers::TimerId;
-use crate::{Call, FinalResponse, StopReason};
+use crate::{Call, FinalResponse, RequestPermit, StopReason};
 use sillward_balancer::{Outcome, ServerId};
 use sillward_metrics::{Counters, InProgressGuard, RequestOutcome};
 use std::rc::Rc;
@@ -20,6 +20,8 @@
     /// budget freely.
     pub(super) timers: Vec<TimerId>,
     response: ResponseState,
+    /// Held until the request is removed from the request table.
+    _permit: RequestPermit,
 }
 
 /// The state of the final response.
@@ -61,6 +63,7 @@
         received_at: Duration,
         response_sender: oneshot::Sender<FinalResponse>,
         in_progress: InProgressGuard,
+        permit: RequestPermit,
     ) -> Self {
         PendingRequest {
             call: Rc::new(call),
@@ -72,6 +75,7 @@
                 response_sender,
                 in_progress,
             },
+            _permit: permit,
         }
     }
 
--- a/crates/forwarding/src/node_handle.rs
+++ b/crates/forwarding/src/node_handle.rs
@@ -1,6 +1,6 @@
 //! The handle through which front ends submit requests to the node.
 
-use crate::{Call, FinalResponse, Message};
+use crate::{Call, FinalResponse, RequestMessage, RequestPermit};
 use sillward_balancer::{NewRequest, RequestId};
 use sillward_runtime::Clock;
 use std::cell::Cell;
@@ -18,19 +18,21 @@
     pub call: Call,
     /// Sends the final response to the front end.
     pub response_sender: oneshot::Sender<FinalResponse>,
+    /// The request's part of the limit of open requests.
+    pub permit: RequestPermit,
 }
 
 /// A handle to the node's event loop, for front ends. Clones share the counter of request numbers.
 #[derive(Clone)]
 pub struct NodeHandle {
     clock: Clock,
-    messages: mpsc::Sender<Message>,
+    messages: mpsc::UnboundedSender<RequestMessage>,
     last_id: Rc<Cell<u64>>,
 }
 
 impl NodeHandle {
     /// A handle to the node that receives `messages`.
-    pub fn new(clock: Clock, messages: mpsc::Sender<Message>) -> Self {
+    pub(crate) fn new(clock: Clock, messages: mpsc::UnboundedSender<RequestMessage>) -> Self {
         NodeHandle {
             clock,
             messages,
@@ -43,16 +45,17 @@
         self.clock
     }
 
-    /// Submits a request under a new number and waits for its final response; `None` if the node has stopped.
+    /// Submits an admitted request under a new number and waits for its final response; `None` if the node has stopped.
     ///
     /// Dropping the future before it completes notifies the node that the client has disconnected.
     pub async fn submit(
         &self,
+        permit: RequestPermit,
         request: NewRequest,
         call: Call,
         received_at: Duration,
     ) -> Option<FinalResponse> {
-        self.submit_streaming(request, call, received_at, std::future::pending())
+        self.submit_streaming(permit, request, call, received_at, std::future::pending())
             .await
     }
 
@@ -60,6 +63,7 @@
     /// time of its last byte.
     pub async fn submit_streaming(
         &self,
+        permit: RequestPermit,
         mut request: NewRequest,
         call: Call,
         received_at: Duration,
@@ -68,25 +72,24 @@
         let id = self.next_id();
         request.id = id;
         let (response_sender, response) = oneshot::channel();
-        // `drop` can't wait for space in the queue, so a permit is reserved before the request is sent.
-        let permit = self.messages.clone().reserve_owned().await.ok()?;
         let mut disconnect_guard = DisconnectGuard {
             id,
-            permit: Some(permit),
+            messages: Some(&self.messages),
         };
         let accepted = Box::new(AcceptedRequest {
             request,
             received_at,
             call,
             response_sender,
+            permit,
         });
-        self.messages.send(Message::Request(accepted)).await.ok()?;
+        self.messages.send(RequestMessage::New(accepted)).ok()?;
         let mut response = std::pin::pin!(response);
         let early = tokio::select! {
             biased;
             response = response.as_mut() => Some(response),
             received_at = body_received => {
-                self.messages.send(Message::BodyReceived(id, received_at)).await.ok()?;
+                self.messages.send(RequestMessage::BodyReceived(id, received_at)).ok()?;
                 None
             }
         };
@@ -105,21 +108,21 @@
 }
 
 /// Notifies the node that the client has disconnected if dropped before it is disarmed.
-struct DisconnectGuard {
+struct DisconnectGuard<'a> {
     id: RequestId,
-    permit: Option<mpsc::OwnedPermit<Message>>,
+    messages: Option<&'a mpsc::UnboundedSender<RequestMessage>>,
 }
 
-impl DisconnectGuard {
+impl DisconnectGuard<'_> {
     fn disarm(&mut self) {
-        self.permit = None;
+        self.messages = None;
     }
 }
 
-impl Drop for DisconnectGuard {
+impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            permit.send(Message::ClientDisconnected(self.id));
+        if let Some(messages) = self.messages {
+            let _ = messages.send(RequestMessage::ClientDisconnected(self.id)); // fails only if the node has ended
         }
     }
 }
--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -24,7 +24,7 @@
 use sillward_balancer::{Idempotency, NewRequest};
 use sillward_forwarding::{
     BodySender, Call, CallProgress, FinalResponse, LiveSettings, MemoryBudget, NodeHandle, Payload,
-    READ_BUFFER_BYTES, SettingsSnapshot, StreamingBody,
+    READ_BUFFER_BYTES, RequestLimit, RequestPermit, SettingsSnapshot, StreamingBody,
 };
 use sillward_listener::{
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, SharedLifecycle,
@@ -52,6 +52,8 @@
     connections: Rc<ConnectionManager>,
     /// The memory for bodies of requests and responses.
     budget: MemoryBudget,
+    /// The requests that may be open in the node.
+    limit: RequestLimit,
     open_calls: OpenCalls,
 }
 
@@ -88,6 +90,7 @@
         settings: Rc<LiveSettings>,
         connections: Rc<ConnectionManager>,
         budget: MemoryBudget,
+        limit: RequestLimit,
         lifecycle: Rc<SharedLifecycle>,
         counters: Rc<Counters>,
     ) -> Rc<Self> {
@@ -98,6 +101,7 @@
             counters,
             connections,
             budget,
+            limit,
             open_calls: OpenCalls::default(),
         })
     }
@@ -180,6 +184,9 @@
         settings: &SettingsSnapshot,
     ) -> Result<Handled, RequestError> {
         let mut body = RequestBody::new(body);
+        let Some(permit) = self.limit.try_admit() else {
+            return Ok(self.reject_over_limit(head.class, body, settings));
+        };
         let request = new_request(&head, settings);
         let wanted_within = request.wanted_within();
         let start = tokio::select! {
@@ -206,14 +213,13 @@
         };
         let mut call = new_call(&head, first, connection, received_at, &settings.platform);
         let response = match streaming {
-            None => self.node.submit(request, call, received_at).await,
+            None => self.node.submit(permit, request, call, received_at).await,
             Some((streaming_body, sender)) => {
                 call.streaming_body = Some(streaming_body);
                 call.deadline.set(received_at + MAX_UPLOAD_TIME);
-                match self
-                    .submit_streaming(request, call, received_at, &mut body, sender)
-                    .await?
-                {
+                let submitted =
+                    self.submit_streaming(permit, request, call, received_at, &mut body, sender);
+                match submitted.await? {
                     StreamedRequest::Ended(response) => response,
                     StreamedRequest::BodyTooLate => {
                         return Ok(self.reject_shutting_down(head.class, body, settings));
@@ -239,6 +245,18 @@
         self.reject_unsent(class, body, settings)
     }
 
+    /// Rejects a request that is not admitted.
+    fn reject_over_limit(
+        &self,
+        class: usize,
+        body: RequestBody,
+        settings: &SettingsSnapshot,
+    ) -> Handled {
+        log_peer("rejected a request: too many are open");
+        self.counters.over_request_limit();
+        self.reject_unsent(class, body, settings)
+    }
+
     /// Rejects a request that is whole too late for a response before the process exits, or whose body would be.
     fn reject_shutting_down(
         &self,
@@ -273,6 +291,7 @@
     /// Submits a request while its body is still being received.
     async fn submit_streaming(
         &self,
+        permit: RequestPermit,
         request: NewRequest,
         call: Call,
         received_at: Duration,
@@ -287,9 +306,9 @@
                 Err(_) => std::future::pending().await, // the body failed, or is not read to its end
             }
         };
-        let response = self
-            .node
-            .submit_streaming(request, call, received_at, body_received);
+        let response =
+            self.node
+                .submit_streaming(permit, request, call, received_at, body_received);
         let relay = async {
             tokio::select! {
                 biased;
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -52,6 +52,8 @@
     attempts: Cell<u64>,
     under_older_settings: Cell<u64>,
     rejected_by_shutdown: Cell<u64>,
+    over_request_limit: Cell<u64>,
+    queued_messages: Cell<usize>,
     reloads: Cell<u64>,
     reload_errors: Cell<u64>,
 }
@@ -108,6 +110,17 @@
             .set(self.rejected_by_shutdown.get() + 1);
     }
 
+    /// Counts a request that was not admitted because too many are open; it is also counted by its outcome.
+    pub fn over_request_limit(&self) {
+        self.over_request_limit
+            .set(self.over_request_limit.get() + 1);
+    }
+
+    /// Sets the number of messages about requests that wait for the node.
+    pub fn set_queued_messages(&self, count: usize) {
+        self.queued_messages.set(count);
+    }
+
     /// The number of requests without a final response.
     pub fn in_progress(&self) -> u64 {
         self.in_progress.get()
@@ -145,6 +158,8 @@
             ("load_errors", self.reload_errors.get()),
             ("older_settings", self.under_older_settings.get()),
             ("shutdown_refused", self.rejected_by_shutdown.get()),
+            ("limit_refused", self.over_request_limit.get()),
+            ("queued_messages", self.queued_messages.get() as u64),
         ];
         for (name, count) in totals {
             let _ = writeln!(out, "node.{name}={count}");
--- a/crates/operator-config/src/thrift.rs
+++ b/crates/operator-config/src/thrift.rs
@@ -13,6 +13,13 @@
 /// The longest budget that a call may have, as over HTTP.
 const LONGEST_BUDGET_MS: i64 = 600_000;
 
+/// Calls with a reply that may be open, over all connections.
+const DEFAULT_OPEN_CALLS: usize = 4096;
+/// Oneway calls that may be open, over all connections.
+const DEFAULT_ONEWAY_CALLS: usize = 1024;
+/// The largest limit of open calls that can be configured.
+const MAX_OPEN_CALLS: i64 = 1 << 20;
+
 pub fn read(section: &Section<'_>, site: Option<&PlatformSettings>, operator: &mut Operator) {
     let bounds = bounds(section);
     let methods = methods(section, site);
@@ -29,6 +36,12 @@
                 .number("connections", 1, 1 << 20)
                 .map(|n| n as usize),
             max_calls_in_flight: section.number("calls_in_flight", 1, 1024).unwrap_or(32) as usize,
+            max_open_calls: section
+                .number("open_calls", 1, MAX_OPEN_CALLS)
+                .map_or(DEFAULT_OPEN_CALLS, |calls| calls as usize),
+            max_oneway_calls: section
+                .number("oneway_calls", 1, MAX_OPEN_CALLS)
+                .map_or(DEFAULT_ONEWAY_CALLS, |calls| calls as usize),
             reply_order: match section.word("order", &["finished", "called"]) {
                 Some(1) => ReplyOrder::Arrival,
                 _ => ReplyOrder::Completion,
@@ -54,7 +67,13 @@
         backend.end();
     }
     // Asked for even where there is no listener, so that they are not called unknown.
-    for name in ["connections", "calls_in_flight", "order"] {
+    for name in [
+        "connections",
+        "calls_in_flight",
+        "open_calls",
+        "oneway_calls",
+        "order",
+    ] {
         section.has(name);
     }
 }
--- a/crates/thrift/src/config.rs
+++ b/crates/thrift/src/config.rs
@@ -11,8 +11,12 @@
     pub listen: SocketAddr,
     /// The maximum number of client connections; `None` for half of the node's limit.
     pub max_connections: Option<usize>,
-    /// The maximum number of calls in flight on a connection; at least 1.
+    /// The maximum number of calls in flight on a connection, oneway calls among them; at least 1.
     pub max_calls_in_flight: usize,
+    /// The maximum number of calls with a reply that are open, over all connections.
+    pub max_open_calls: usize,
+    /// The maximum number of oneway calls that are open, over all connections, also of clients that have disconnected.
+    pub max_oneway_calls: usize,
     /// The order of the replies on a connection.
     pub reply_order: ReplyOrder,
     /// Limits for messages.
--- a/crates/thrift/src/frontend.rs
+++ b/crates/thrift/src/frontend.rs
@@ -6,9 +6,10 @@
     Encoding, ExceptionKind, FrameProgress, FrameReader, NotFramed, exception, read_head,
 };
 use bytes::Bytes;
+use sillward_balancer::NewRequest;
 use sillward_forwarding::{
     Call, FinalResponse, LiveSettings, MemoryBudget, MemoryReservation, NodeHandle,
-    READ_BUFFER_BYTES,
+    READ_BUFFER_BYTES, RequestLimit, RequestPermit,
 };
 use sillward_listener::{
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, READ_TIMEOUT,
@@ -44,6 +45,10 @@
     counters: Rc<Counters>,
     /// The memory for frames.
     budget: MemoryBudget,
+    /// The calls with a reply that may be open, over all connections.
+    limit: RequestLimit,
+    /// The oneway calls that may be open, over all connections, also of clients that have disconnected.
+    oneway_limit: RequestLimit,
     random: RefCell<Random>,
     oneway_calls: Cell<u64>,
 }
@@ -78,6 +83,8 @@
         Rc::new(Frontend {
             node,
             settings,
+            limit: RequestLimit::new(config.max_open_calls),
+            oneway_limit: RequestLimit::new(config.max_oneway_calls),
             config,
             connections,
             lifecycle,
@@ -93,6 +100,21 @@
         self.oneway_calls.get()
     }
 
+    /// The frame of a reply, and the memory for it.
+    fn reply(
+        &self,
+        context: &ReplyContext,
+        response: FinalResponse,
+    ) -> (Vec<u8>, Option<MemoryReservation>) {
+        let frame = calls::encode_response(&self.config, context, response);
+        if let Some(reservation) = self.budget.try_reserve(frame.capacity()) {
+            return (frame, Some(reservation));
+        }
+        log_peer("dropped a reply: no memory for its frame");
+        let failed = calls::encode_response(&self.config, context, FinalResponse::Failed);
+        (failed, None)
+    }
+
     /// A random id for a call, unlikely to collide with that of another node's call.
     fn new_call_id(&self) -> u128 {
         let mut random = self.random.borrow_mut();
@@ -115,6 +137,8 @@
             unparsed: VecDeque::new(),
             frame_deadline: None,
             waiting: None,
+            awaits_oneway_permit: false,
+            oneway_permit: None,
             calls: JoinSet::new(),
             open_seqids: BTreeSet::new(),
             unwritten: VecDeque::new(),
@@ -128,6 +152,18 @@
     }
 }
 
+/// How a call of a connection ended.
+enum CallEnd {
+    /// Its reply is ready.
+    Reply {
+        seqid: i32,
+        frame: Vec<u8>,
+        reservation: Option<MemoryReservation>,
+    },
+    /// It was a oneway call.
+    Oneway,
+}
+
 /// A client's connection.
 struct Session {
     frontend: Rc<Frontend>,
@@ -140,10 +176,15 @@
     unparsed: VecDeque<u8>,
     /// When the frame that is being read must be complete.
     frame_deadline: Option<Instant>,
-    /// A frame that has to wait for other calls of the connection.
+    /// A frame that has to wait for other calls of the connection, or for the limit of oneway calls.
     waiting: Option<Bytes>,
-    calls: JoinSet<(i32, Vec<u8>, Option<MemoryReservation>)>,
-    /// The sequence numbers of the calls in flight.
+    /// Set while the waiting frame is a oneway call for which the limit has no permit.
+    awaits_oneway_permit: bool,
+    /// The permit of the waiting oneway call.
+    oneway_permit: Option<RequestPermit>,
+    /// The calls in flight, oneway calls among them.
+    calls: JoinSet<CallEnd>,
+    /// The sequence numbers of the calls in flight that have a reply.
     open_seqids: BTreeSet<i32>,
     /// Frames of replies that have not been written completely.
     unwritten: VecDeque<(Vec<u8>, Option<MemoryReservation>)>,
@@ -184,6 +225,7 @@
                 stream,
                 connection,
                 unwritten,
+                frontend,
                 ..
             } = self;
             let may_read = self.waiting.is_none() && !self.read_closed && self.unparsed.is_empty();
@@ -195,9 +237,14 @@
                 biased;
                 Some(done) = calls.join_next(), if !calls.is_empty() => {
                     // A call's task failed only if it panicked: the client sees the connection close.
-                    let Ok((seqid, frame, reservation)) = done else { return };
-                    self.open_seqids.remove(&seqid);
-                    self.queue_reply(frame, reservation);
+                    match done {
+                        Ok(CallEnd::Reply { seqid, frame, reservation }) => {
+                            self.open_seqids.remove(&seqid);
+                            self.queue_reply(frame, reservation);
+                        }
+                        Ok(CallEnd::Oneway) => {}
+                        Err(_) => return,
+                    }
                 }
                 count = stream.write(first_frame), if !first_frame.is_empty() => match count {
                     Ok(count) if count > 0 => self.advance_written(count),
@@ -208,6 +255,10 @@
                     Ok(0) | Err(_) => return,
                     Ok(count) => self.unparsed.extend(&chunk[..count]),
                 },
+                permit = frontend.oneway_limit.admit(), if self.awaits_oneway_permit => {
+                    self.awaits_oneway_permit = false;
+                    self.oneway_permit = Some(permit);
+                }
                 () = connection.close_requested(), if !self.closing => self.closing = true,
                 () = sleep_until(self.frame_deadline.unwrap_or(write_deadline)), if self.frame_deadline.is_some() => {
                     self.reject_input(FrameError::Slow);
@@ -249,8 +300,10 @@
 
     /// Parses frames from the bytes that were read, until one of them has to wait.
     fn parse_frames(&mut self) {
-        if let Some(frame) = self.waiting.take() {
-            self.handle_frame(frame);
+        if !self.awaits_oneway_permit {
+            if let Some(frame) = self.waiting.take() {
+                self.handle_frame(frame);
+            }
         }
         let unwritten: usize = self.unwritten.iter().map(|(frame, _)| frame.len()).sum();
         if unwritten > MAX_UNWRITTEN_BYTES {
@@ -298,13 +351,14 @@
         let config = &self.frontend.config;
         let seqid = read_head(&frame, &config.limits).map(|message| message.head.seqid);
         let must_wait = match config.reply_order {
-            ReplyOrder::Arrival => !self.calls.is_empty() || !self.unwritten.is_empty(),
+            ReplyOrder::Arrival => !self.open_seqids.is_empty() || !self.unwritten.is_empty(),
             ReplyOrder::Completion => seqid.is_ok_and(|seqid| self.open_seqids.contains(&seqid)),
         };
         if must_wait || self.calls.len() >= config.max_calls_in_flight {
             self.waiting = Some(frame);
             return;
         }
+        let oneway_permit = self.oneway_permit.take();
         self.connection.request_opened();
         self.busy = true;
         let frontend = self.frontend.clone();
@@ -312,7 +366,7 @@
         match calls::validate(
             config,
             &frontend.settings.snapshot(),
-            frame,
+            frame.clone(),
             frontend.new_call_id(),
             now,
         ) {
@@ -324,44 +378,87 @@
                 self.reject_shutting_down(&call, &context);
             }
             Ok(ValidatedCall { request, call, .. }) if !call.expects_response => {
-                frontend.oneway_calls.set(frontend.oneway_calls.get() + 1);
-                // The client may disconnect at once, which doesn't cancel a oneway call.
-                spawn_local(async move {
-                    let _ = frontend.node.submit(request, call, now).await;
-                });
+                match self.admit_oneway(oneway_permit) {
+                    Some(permit) => self.submit_oneway(permit, request, call, now),
+                    None => self.waiting = Some(frame),
+                }
             }
             Ok(ValidatedCall {
                 request,
-                mut call,
+                call,
                 context,
-            }) => {
-                call.client_connected_check = Some(self.connection.connected_check());
-                self.open_seqids.insert(context.seqid);
-                self.calls.spawn_local(async move {
-                    let response = frontend.node.submit(request, call, now).await;
-                    let response = response.unwrap_or(FinalResponse::Failed);
-                    let frame = calls::encode_response(&frontend.config, &context, response);
-                    match frontend.budget.try_reserve(frame.capacity()) {
-                        Some(reservation) => (context.seqid, frame, Some(reservation)),
-                        None => {
-                            log_peer("dropped a reply: no memory for its frame");
-                            (
-                                context.seqid,
-                                calls::encode_response(
-                                    &frontend.config,
-                                    &context,
-                                    FinalResponse::Failed,
-                                ),
-                                None,
-                            )
-                        }
-                    }
-                });
-            }
+            }) => match frontend.limit.try_admit() {
+                Some(permit) => self.submit(permit, request, call, context, now),
+                None => self.reject_over_limit(&call, &context),
+            },
             Err(invalid) => self.reject_invalid(invalid),
         }
     }
 
+    /// Submits a call whose reply goes to this connection. The end of the connection cancels it.
+    fn submit(
+        &mut self,
+        permit: RequestPermit,
+        request: NewRequest,
+        mut call: Call,
+        context: ReplyContext,
+        received_at: Duration,
+    ) {
+        let frontend = self.frontend.clone();
+        call.client_connected_check = Some(self.connection.connected_check());
+        self.open_seqids.insert(context.seqid);
+        self.calls.spawn_local(async move {
+            let node = &frontend.node;
+            let response = node.submit(permit, request, call, received_at).await;
+            let response = response.unwrap_or(FinalResponse::Failed);
+            let (frame, reservation) = frontend.reply(&context, response);
+            CallEnd::Reply {
+                seqid: context.seqid,
+                frame,
+                reservation,
+            }
+        });
+    }
+
+    /// The permit of a oneway call: the one that it has waited for, or a free one. Without one its frame waits, and with it all that the client sends on this connection:
+    /// there is no reply by which the client could be told to send less.
+    fn admit_oneway(&mut self, permit: Option<RequestPermit>) -> Option<RequestPermit> {
+        let permit = permit.or_else(|| self.frontend.oneway_limit.try_admit());
+        self.awaits_oneway_permit = permit.is_none();
+        permit
+    }
+
+    /// Submits a oneway call, which counts as a call of this connection. It outlives the connection, since its client may
+    /// disconnect at once.
+    fn submit_oneway(
+        &mut self,
+        permit: RequestPermit,
+        request: NewRequest,
+        call: Call,
+        received_at: Duration,
+    ) {
+        let frontend = self.frontend.clone();
+        frontend.oneway_calls.set(frontend.oneway_calls.get() + 1);
+        let submission = spawn_local(async move {
+            let node = &frontend.node;
+            let _ = node.submit(permit, request, call, received_at).await;
+        });
+        self.calls.spawn_local(async move {
+            let _ = submission.await; // fails only if the submission panicked
+            CallEnd::Oneway
+        });
+    }
+
+    /// Rejects a call that is not admitted.
+    fn reject_over_limit(&mut self, call: &Call, context: &ReplyContext) {
+        log_peer("rejected a call: too many are open");
+        let counters = &self.frontend.counters;
+        counters.over_request_limit();
+        counters.request_ended(call.class, RequestOutcome::Rejected);
+        let frame = self.rejection(context);
+        self.queue_reply(frame, None);
+    }
+
     /// Rejects a call that is too late for a response before the process exits.
     fn reject_shutting_down(&mut self, call: &Call, context: &ReplyContext) {
         log_peer("rejected a call: it is too late for a response before the process exits");
--- a/testing/servers/src/peers.rs
+++ b/testing/servers/src/peers.rs
@@ -485,18 +485,21 @@
         let mut lines = BufReader::new(child.stderr.take().expect("its log"))
             .lines()
             .map_while(Result::ok);
+        let mut passed: Vec<String> = Vec::new();
         let mut address = |what: &str| {
             loop {
-                // Other lines may come between; an error in its place is the last.
-                let line = lines
-                    .next()
-                    .unwrap_or_else(|| panic!("no line with {what:?}"));
-                if let Some((_, address)) = line.split_once(what) {
+                let found = passed.iter().find_map(|line| line.split_once(what));
+                if let Some((_, address)) = found {
                     return address
                         .parse()
-                        .unwrap_or_else(|_| panic!("no address: {line}"));
+                        .unwrap_or_else(|_| panic!("no address: {address}"));
                 }
+                // Other lines may come before it; an error in its place is the last.
+                let line = lines
+                    .next()
+                    .unwrap_or_else(|| panic!("no line with {what:?}"));
                 assert!(!line.contains("cannot"), "{line}");
+                passed.push(line);
             }
         };
         let address_of_http = address("listens on ");
