Test a broken long body without a race between the break and its rest

What failed: an_unsafe_body_that_never_came_whole_is_sent_again_while_it_is_kept failed once in a run of the root's tests, with 503 for 200.

Cause: the test sent the rest of the body when the backend had broken the connection, not when the node had seen it. Until then the rest is written to the broken connection and is spent; the node then rejects the request, which never ran, or fails it if the kernel had taken all of it.

Change: the backends tell when a request begins, and the rest is sent only after the attempt that follows the break has begun at one of them. What is asserted is unchanged: 200 and the sum over the whole body.

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -579,28 +579,42 @@
 
 // ---- What may be sent again ---------------------------------------------------------------------
 
+/// Tells when the first bytes of a request have come that is not broken.
+type Began = std::sync::Mutex<std::sync::mpsc::Sender<()>>;
+
+/// Serves a connection's requests, and tells when each begins.
+fn serve_telling(mut stream: TcpStream, began: &Began) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    while reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+        let _ = began.lock().expect("the way").send(());
+        let Some((_, body)) = request(&mut reader) else {
+            return;
+        };
+        let _ = stream.write_all(&with_length(summed(&body).as_bytes()));
+    }
+}
+
 /// Plays a backend that breaks its first connection once so many bytes of a request have come, and serves all others.
-fn breaking(after: usize) -> (Raw, Receiver<usize>) {
+fn breaking(after: usize, began: Began) -> (Raw, Receiver<usize>) {
     let (broke, broken) = channel();
     let broke = std::sync::Mutex::new(broke);
     let backend = Raw::start(move |number, mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         if number == 0 {
-            let _ = reader.read_exact(&mut vec![0; after]);
+            let _ = stream.read_exact(&mut vec![0; after]);
             let _ = broke.lock().expect("the way").send(after);
             return; // with bytes unread: its end is a reset
         }
-        while let Some((_, body)) = request(&mut reader) {
-            let _ = stream.write_all(&with_length(summed(&body).as_bytes()));
-        }
+        serve_telling(stream, &began);
     });
     (backend, broken)
 }
 
 #[test]
 fn an_unsafe_body_that_never_came_whole_is_sent_again_while_it_is_kept() {
-    let (backend, broken) = breaking(100);
-    let other = summing();
+    let (began, begins) = channel();
+    let (backend, broken) = breaking(100, Began::new(began.clone()));
+    let began = Began::new(began);
+    let other = Raw::start(move |_, stream| serve_telling(stream, &began));
     let (node, _watch, _discovery) = serving_raw(&[&backend, &other]);
     let body = pattern(400_000);
     for _ in 0..20 {
@@ -610,7 +624,12 @@
             .expect("it reads");
         // What is kept goes on; the rest has not come.
         client.write_all(&body[..256 * 1024]).expect("it reads");
-        let broke = broken.recv_timeout(Duration::from_millis(300)).is_ok();
+        // The rest comes after the node has seen a break and sent again what it keeps: before that it would be written to the
+        // broken connection, and be spent.
+        begins
+            .recv_timeout(PATIENCE)
+            .expect("a backend that serves it");
+        let broke = broken.try_recv().is_ok();
         client.write_all(&body[256 * 1024..]).expect("it reads");
         assert_eq!(answer(&client), (200, Ok(summed(&body).into_bytes())));
         if broke {
@@ -622,7 +641,7 @@
 
 #[test]
 fn a_body_that_is_spent_is_not_sent_again_and_refused_if_it_never_ran() {
-    let (backend, broken) = breaking(700_000);
+    let (backend, broken) = breaking(700_000, Began::new(channel().0));
     let (node, _watch, _discovery) = serving_raw(&[&backend]);
     let body = pattern(20 * MIB);
     let mut client = connect(&node);
