Split the two frontends into sessions, submissions and rejections

Change: the Thrift frontend keeps the limits over all connections; a session is a file of its own, and so are the replies by which it turns input down. The HTTP frontend's rejections are a file of their own. Only moved; the constructor of a session is the one new function.

--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -1,6 +1,7 @@
 //! The frontend: serves client connections, receives their requests, and sends the node's final responses.
 
 mod open_calls;
+mod rejections;
 mod responses;
 
 use crate::discard::discard_in_background;
@@ -29,7 +30,6 @@
 use sillward_listener::{
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, SharedLifecycle,
 };
-use sillward_logging::log_peer;
 use sillward_metrics::{Counters, RequestOutcome};
 use sillward_runtime::Stream;
 use std::cell::Cell;
@@ -235,59 +235,6 @@
         Ok(Handled::BodyUnread(response))
     }
 
-    fn reject_out_of_memory(
-        &self,
-        class: usize,
-        body: RequestBody,
-        settings: &SettingsSnapshot,
-    ) -> Handled {
-        log_peer("rejected a request: the memory budget for bodies is exhausted");
-        self.reject_unsent(class, body, settings)
-    }
-
-    /// Rejects a request that is not admitted.
-    fn reject_over_limit(
-        &self,
-        class: usize,
-        body: RequestBody,
-        settings: &SettingsSnapshot,
-    ) -> Handled {
-        log_peer("rejected a request: too many are open");
-        self.counters.over_request_limit();
-        self.reject_unsent(class, body, settings)
-    }
-
-    /// Rejects a request that is whole too late for a response before the process exits, or whose body would be.
-    fn reject_shutting_down(
-        &self,
-        class: usize,
-        body: RequestBody,
-        settings: &SettingsSnapshot,
-    ) -> Handled {
-        log_peer("rejected a request: it is too late for a response before the process exits");
-        self.counters.rejected_by_shutdown();
-        self.reject_unsent(class, body, settings)
-    }
-
-    /// Rejects a request of which no backend has received the last byte.
-    fn reject_unsent(
-        &self,
-        class: usize,
-        body: RequestBody,
-        settings: &SettingsSnapshot,
-    ) -> Handled {
-        self.counters.request_ended(class, RequestOutcome::Rejected);
-        let rejected = FinalResponse::Rejected {
-            retry_after: settings.platform.settings.limits.max_retry_after,
-            never_ran: true,
-        };
-        if body.is_ended() {
-            return Handled::Complete(rejected);
-        }
-        discard_in_background(body.into_unread());
-        Handled::BodyUnread(rejected)
-    }
-
     /// Submits a request while its body is still being received.
     async fn submit_streaming(
         &self,
--- /dev/null
+++ b/crates/thrift/src/frontend/session.rs
@@ -0,0 +1,354 @@
+//! A client's connection: reads framed calls, with several in flight, and writes the replies.
+
+mod rejections;
+
+use super::Frontend;
+use crate::calls::{self, ReplyContext, ValidatedCall};
+use crate::config::ReplyOrder;
+use crate::wire::{FrameProgress, FrameReader, read_head};
+use bytes::Bytes;
+use rejections::FrameError;
+use sillward_balancer::NewRequest;
+use sillward_forwarding::{
+    Call, FinalResponse, MemoryReservation, READ_BUFFER_BYTES, RequestPermit,
+};
+use sillward_listener::{AfterRequest, ClientConnection, READ_TIMEOUT};
+use sillward_runtime::Stream;
+use sillward_runtime::task::{JoinSet, spawn_local};
+use sillward_runtime::time::{Instant, sleep_until};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection is closed after this long without progress in writing replies to it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// While more than this many bytes of replies wait to be written, no further call of the connection is processed.
+const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
+/// How a call of a connection ended.
+enum CallEnd {
+    /// Its reply is ready.
+    Reply {
+        seqid: i32,
+        frame: Vec<u8>,
+        reservation: Option<MemoryReservation>,
+    },
+    /// It was a oneway call.
+    Oneway,
+}
+
+/// A client's connection.
+pub(super) struct Session {
+    frontend: Rc<Frontend>,
+    stream: Stream,
+    connection: Rc<ClientConnection>,
+    reader: FrameReader,
+    /// The memory of the frame that is being read.
+    reservation: MemoryReservation,
+    /// Bytes that were read but not parsed yet, as they follow a waiting frame; at most one chunk.
+    unparsed: VecDeque<u8>,
+    /// When the frame that is being read must be complete.
+    frame_deadline: Option<Instant>,
+    /// A frame that has to wait for other calls of the connection, or for the limit of oneway calls.
+    waiting: Option<Bytes>,
+    /// Set while the waiting frame is a oneway call for which the limit has no permit.
+    awaits_oneway_permit: bool,
+    /// The permit of the waiting oneway call.
+    oneway_permit: Option<RequestPermit>,
+    /// The calls in flight, oneway calls among them.
+    calls: JoinSet<CallEnd>,
+    /// The sequence numbers of the calls in flight that have a reply.
+    open_seqids: BTreeSet<i32>,
+    /// Frames of replies that have not been written completely.
+    unwritten: VecDeque<(Vec<u8>, Option<MemoryReservation>)>,
+    /// How many bytes of the first of them have been written.
+    written_of_first: usize,
+    /// When bytes were last written, or when the first of the unwritten frames was queued.
+    last_progress: Instant,
+    /// Whether a call has been accepted since the connection was last idle.
+    busy: bool,
+    /// Whether reading has ended because the input is invalid or there is no memory for a frame.
+    read_closed: bool,
+    /// Whether the node has asked for the connection to be closed.
+    closing: bool,
+}
+
+impl Session {
+    /// The session of a connection that was just accepted. `reservation` is the memory of its first frame.
+    pub(super) fn new(
+        frontend: Rc<Frontend>,
+        stream: Stream,
+        connection: Rc<ClientConnection>,
+        reservation: MemoryReservation,
+    ) -> Self {
+        let reader = FrameReader::new(frontend.config.limits.max_frame_bytes);
+        Session {
+            frontend,
+            stream,
+            connection,
+            reader,
+            reservation,
+            unparsed: VecDeque::new(),
+            frame_deadline: None,
+            waiting: None,
+            awaits_oneway_permit: false,
+            oneway_permit: None,
+            calls: JoinSet::new(),
+            open_seqids: BTreeSet::new(),
+            unwritten: VecDeque::new(),
+            written_of_first: 0,
+            last_progress: Instant::now(),
+            busy: false,
+            read_closed: false,
+            closing: false,
+        }
+    }
+
+    /// Reads calls and writes replies until the connection ends.
+    pub(super) async fn run(&mut self) {
+        let mut chunk = [0; READ_BUFFER_BYTES];
+        loop {
+            self.parse_frames();
+            if self.is_idle() {
+                if self.busy && !self.read_closed {
+                    self.busy = false;
+                    // A frame that has begun has its own time limit, `frame_deadline`.
+                    self.frontend
+                        .connections
+                        .request_finished(&self.connection, AfterRequest::KeepAlive);
+                }
+                let closed_when_idle = self.closing
+                    && !self.reader.is_in_frame()
+                    && self.connection.read_would_block();
+                if self.read_closed || closed_when_idle {
+                    break;
+                }
+            }
+            let Session {
+                calls,
+                stream,
+                connection,
+                unwritten,
+                frontend,
+                ..
+            } = self;
+            let may_read = self.waiting.is_none() && !self.read_closed && self.unparsed.is_empty();
+            let write_deadline = self.last_progress + WRITE_TIMEOUT;
+            let first_frame = unwritten
+                .front()
+                .map_or(&[][..], |(frame, _)| &frame[self.written_of_first..]);
+            tokio::select! {
+                biased;
+                Some(done) = calls.join_next(), if !calls.is_empty() => {
+                    // A call's task failed only if it panicked: the client sees the connection close.
+                    match done {
+                        Ok(CallEnd::Reply { seqid, frame, reservation }) => {
+                            self.open_seqids.remove(&seqid);
+                            self.queue_reply(frame, reservation);
+                        }
+                        Ok(CallEnd::Oneway) => {}
+                        Err(_) => return,
+                    }
+                }
+                count = stream.write(first_frame), if !first_frame.is_empty() => match count {
+                    Ok(count) if count > 0 => self.advance_written(count),
+                    _ => return,
+                },
+                count = stream.read(&mut chunk), if may_read => match count {
+                    // The client has closed the connection, which cancels its calls.
+                    Ok(0) | Err(_) => return,
+                    Ok(count) => self.unparsed.extend(&chunk[..count]),
+                },
+                permit = frontend.oneway_limit.admit(), if self.awaits_oneway_permit => {
+                    self.awaits_oneway_permit = false;
+                    self.oneway_permit = Some(permit);
+                }
+                () = connection.close_requested(), if !self.closing => self.closing = true,
+                () = sleep_until(self.frame_deadline.unwrap_or(write_deadline)), if self.frame_deadline.is_some() => {
+                    self.reject_input(FrameError::Slow);
+                }
+                () = sleep_until(write_deadline), if !unwritten.is_empty() => return,
+            }
+        }
+        self.frontend
+            .connections
+            .request_finished(&self.connection, AfterRequest::Close);
+        self.connection.lingering_close(&self.stream).await;
+    }
+
+    /// Whether no call is in flight or waiting and every reply has been written.
+    fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.unwritten.is_empty() && self.waiting.is_none()
+    }
+
+    /// Queues a reply. The small frames that the node generates itself have no memory reservation.
+    fn queue_reply(&mut self, frame: Vec<u8>, reservation: Option<MemoryReservation>) {
+        if self.unwritten.is_empty() {
+            self.last_progress = Instant::now();
+        }
+        self.unwritten.push_back((frame, reservation));
+    }
+
+    fn advance_written(&mut self, count: usize) {
+        self.last_progress = Instant::now();
+        self.written_of_first += count;
+        if self
+            .unwritten
+            .front()
+            .is_some_and(|(frame, _)| self.written_of_first >= frame.len())
+        {
+            self.unwritten.pop_front();
+            self.written_of_first = 0;
+        }
+    }
+
+    /// Parses frames from the bytes that were read, until one of them has to wait.
+    fn parse_frames(&mut self) {
+        if !self.awaits_oneway_permit {
+            if let Some(frame) = self.waiting.take() {
+                self.handle_frame(frame);
+            }
+        }
+        let unwritten: usize = self.unwritten.iter().map(|(frame, _)| frame.len()).sum();
+        if unwritten > MAX_UNWRITTEN_BYTES {
+            return;
+        }
+        while self.waiting.is_none() && !self.read_closed && !self.unparsed.is_empty() {
+            let reservation = &mut self.reservation;
+            let bytes = self.unparsed.make_contiguous();
+            let (used, progress) = self
+                .reader
+                .take(bytes, &mut |bytes| reservation.try_grow(bytes));
+            self.unparsed.drain(..used);
+            let reservation = match progress {
+                FrameProgress::Incomplete => {
+                    self.frame_deadline = self
+                        .frame_deadline
+                        .or_else(|| Some(Instant::now() + READ_TIMEOUT));
+                    continue;
+                }
+                _ => self
+                    .frontend
+                    .budget
+                    .try_reserve(0)
+                    .map(|new| std::mem::replace(&mut self.reservation, new)),
+            };
+            self.frame_deadline = None;
+            match (progress, reservation) {
+                (FrameProgress::Complete(frame), Some(reservation)) => {
+                    let frame = reservation.attach(frame.into());
+                    self.handle_frame(frame);
+                }
+                (FrameProgress::Discarded(begin), _) => {
+                    self.reject_input(FrameError::NoMemory(&begin))
+                }
+                (FrameProgress::NotFramed(reason), _) => {
+                    self.reject_input(FrameError::NotFramed(reason))
+                }
+                _ => self.read_closed = true,
+            }
+        }
+    }
+
+    /// Handles a complete frame, or lets it wait for other calls of the connection.
+    fn handle_frame(&mut self, frame: Bytes) {
+        let config = &self.frontend.config;
+        let seqid = read_head(&frame, &config.limits).map(|message| message.head.seqid);
+        let must_wait = match config.reply_order {
+            ReplyOrder::Arrival => !self.open_seqids.is_empty() || !self.unwritten.is_empty(),
+            ReplyOrder::Completion => seqid.is_ok_and(|seqid| self.open_seqids.contains(&seqid)),
+        };
+        if must_wait || self.calls.len() >= config.max_calls_in_flight {
+            self.waiting = Some(frame);
+            return;
+        }
+        let oneway_permit = self.oneway_permit.take();
+        self.connection.request_opened();
+        self.busy = true;
+        let frontend = self.frontend.clone();
+        let now = frontend.node.clock().now();
+        match calls::validate(
+            config,
+            &frontend.settings.snapshot(),
+            frame.clone(),
+            frontend.new_call_id(),
+            now,
+        ) {
+            Ok(ValidatedCall {
+                request,
+                call,
+                context,
+            }) if !frontend.lifecycle.accepts_request(request.wanted_within()) => {
+                self.reject_shutting_down(&call, &context);
+            }
+            Ok(ValidatedCall { request, call, .. }) if !call.expects_response => {
+                match self.admit_oneway(oneway_permit) {
+                    Some(permit) => self.submit_oneway(permit, request, call, now),
+                    None => self.waiting = Some(frame),
+                }
+            }
+            Ok(ValidatedCall {
+                request,
+                call,
+                context,
+            }) => match frontend.limit.try_admit() {
+                Some(permit) => self.submit(permit, request, call, context, now),
+                None => self.reject_over_limit(&call, &context),
+            },
+            Err(invalid) => self.reject_invalid(invalid),
+        }
+    }
+
+    /// Submits a call whose reply goes to this connection. The end of the connection cancels it.
+    fn submit(
+        &mut self,
+        permit: RequestPermit,
+        request: NewRequest,
+        mut call: Call,
+        context: ReplyContext,
+        received_at: Duration,
+    ) {
+        let frontend = self.frontend.clone();
+        call.client_connected_check = Some(self.connection.connected_check());
+        self.open_seqids.insert(context.seqid);
+        self.calls.spawn_local(async move {
+            let node = &frontend.node;
+            let response = node.submit(permit, request, call, received_at).await;
+            let response = response.unwrap_or(FinalResponse::Failed);
+            let (frame, reservation) = frontend.reply(&context, response);
+            CallEnd::Reply {
+                seqid: context.seqid,
+                frame,
+                reservation,
+            }
+        });
+    }
+
+    /// The permit of a oneway call: the one that it has waited for, or a free one. Without one its frame waits, and with it all that the client sends on this connection:
+    /// there is no reply by which the client could be told to send less.
+    fn admit_oneway(&mut self, permit: Option<RequestPermit>) -> Option<RequestPermit> {
+        let permit = permit.or_else(|| self.frontend.oneway_limit.try_admit());
+        self.awaits_oneway_permit = permit.is_none();
+        permit
+    }
+
+    /// Submits a oneway call, which counts as a call of this connection. It outlives the connection, since its client may
+    /// disconnect at once.
+    fn submit_oneway(
+        &mut self,
+        permit: RequestPermit,
+        request: NewRequest,
+        call: Call,
+        received_at: Duration,
+    ) {
+        let frontend = self.frontend.clone();
+        frontend.oneway_calls.set(frontend.oneway_calls.get() + 1);
+        let submission = spawn_local(async move {
+            let node = &frontend.node;
+            let _ = node.submit(permit, request, call, received_at).await;
+        });
+        self.calls.spawn_local(async move {
+            let _ = submission.await; // fails only if the submission panicked
+            CallEnd::Oneway
+        });
+    }
+}
