--- a/tests/request_policy.rs
+++ b/tests/request_policy.rs
@@ -11,6 +11,8 @@
 /// How long a client waits for its response. A hedged request would follow after a few milliseconds.
 const BUDGET_MS: u64 = 1_200;
 const BODY_BYTES: usize = 13;
+/// The header of a keyed request.
+const KEY: &str = "Idempotency-Key: 77\r\n";
 const HEDGING: &str = r#","ParallelTries":true"#;
 
 fn class(name: &str, effect: &str) -> String {
@@ -67,71 +69,58 @@
     until(|| node.figure("node.loads") == loads, "the new settings");
 }
 
+/// What the backends receive of a sheet whose head is accepted under the settings `first`, and whose body comes after `later`
+/// have been loaded one after the other.
+fn received_across_reloads(first: &str, later: &[&str], headers: &str) -> Vec<Message> {
+    let (node, _watch, discovery, backends) = with_slow_backends(first);
+    let held = send_head(&node, headers);
+    for (loads, settings) in later.iter().enumerate() {
+        load(&node, &discovery, settings, loads as u64 + 1);
+    }
+    finish_unanswered(held);
+    let overtaken = later.last().is_some_and(|last| *last != first);
+    assert_eq!(node.figure("node.older_settings"), u64::from(overtaken));
+    sheets(&backends)
+}
+
 /// Guards against a second copy of an unsafe request whose class vanished and appeared as keyed while its body came.
 #[test]
 fn an_unsafe_request_stays_unsafe_when_its_class_vanishes_and_appears_as_keyed() {
-    let first = settings_with(Some("single_shot"), HEDGING);
-    let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = send_head(&node, "");
-    load(&node, &discovery, &settings_with(None, HEDGING), 1);
-    load(
-        &node,
-        &discovery,
-        &settings_with(Some("guarded"), HEDGING),
-        2,
-    );
-    finish_unanswered(held);
-    assert_eq!(sheets(&backends).len(), 1, "it may run once");
-    assert_eq!(node.figure("node.older_settings"), 1);
+    let single_shot = settings_with(Some("single_shot"), HEDGING);
+    let without = settings_with(None, HEDGING);
+    let keyed = settings_with(Some("guarded"), HEDGING);
+    let received = received_across_reloads(&single_shot, &[&without, &keyed], "");
+    assert_eq!(received.len(), 1, "it may run once");
 }
 
 /// Guards against the same fault where one file changes the class in one step.
 #[test]
 fn an_unsafe_request_stays_unsafe_when_its_class_becomes_keyed_in_one_step() {
-    let first = settings_with(Some("single_shot"), HEDGING);
-    let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = send_head(&node, "");
-    load(
-        &node,
-        &discovery,
-        &settings_with(Some("guarded"), HEDGING),
-        1,
-    );
-    finish_unanswered(held);
-    assert_eq!(sheets(&backends).len(), 1, "it may run once");
+    let single_shot = settings_with(Some("single_shot"), HEDGING);
+    let keyed = settings_with(Some("guarded"), HEDGING);
+    let received = received_across_reloads(&single_shot, &[&keyed], "");
+    assert_eq!(received.len(), 1, "it may run once");
 }
 
 /// Guards against the opposite: a keyed request that loses the second copy that its head was promised.
 #[test]
 fn a_keyed_request_stays_keyed_when_its_class_becomes_unsafe() {
-    let first = settings_with(Some("guarded"), HEDGING);
-    let (node, _watch, discovery, backends) = with_slow_backends(&first);
-    let held = send_head(&node, "Idempotency-Key: 77\r\n");
-    load(
-        &node,
-        &discovery,
-        &settings_with(Some("single_shot"), HEDGING),
-        1,
-    );
-    finish_unanswered(held);
-    let sheets = sheets(&backends);
-    assert_eq!(sheets.len(), 2, "the first copy and the hedged one");
-    let keyed = |sheet: &Message| sheet.header("idempotency-key") == Some("77");
-    assert!(sheets.iter().all(keyed), "{sheets:?}");
+    let keyed = settings_with(Some("guarded"), HEDGING);
+    let single_shot = settings_with(Some("single_shot"), HEDGING);
+    let received = received_across_reloads(&keyed, &[&single_shot], KEY);
+    assert_eq!(received.len(), 2, "the first copy and the hedged one");
+    let has_key = |sheet: &Message| sheet.header("idempotency-key") == Some("77");
+    assert!(received.iter().all(has_key), "{received:?}");
 }
 
 /// Guards against a limit on attempts and a permission to hedge that are read when the body is whole.
 #[test]
 fn a_request_gets_no_more_attempts_than_its_head_was_accepted_with() {
-    let later = settings_with(Some("guarded"), HEDGING);
-    let one_attempt = later.replacen(r#""AttemptsCap":3"#, r#""AttemptsCap":1"#, 1);
+    let two_copies = settings_with(Some("guarded"), HEDGING);
+    let one_attempt = two_copies.replacen(r#""AttemptsCap":3"#, r#""AttemptsCap":1"#, 1);
     let no_copies = settings_with(Some("guarded"), r#","ParallelTries":false"#);
-    for (first, expected) in [(&one_attempt, 1), (&later, 2)] {
-        let (node, _watch, discovery, backends) = with_slow_backends(first);
-        let held = send_head(&node, "Idempotency-Key: 77\r\n");
-        load(&node, &discovery, &no_copies, 1);
-        load(&node, &discovery, &later, 2);
-        finish_unanswered(held);
-        assert_eq!(sheets(&backends).len(), expected);
+    for (first, expected) in [(&one_attempt, 1), (&two_copies, 2)] {
+        let received = received_across_reloads(first, &[&no_copies, &two_copies], KEY);
+        assert_eq!(received.len(), expected);
     }
 }
