Review case 9: a node without a list from before never gets ready where it has to ask

Cause: the discovery client waits for the decision module's command to watch, and the module starts to poll with its first event; without a list from before no event comes before the node is ready.

No code of the program is touched.

--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
 pub struct Discovery {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// How many calls have come.
+    pub calls: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -52,6 +55,7 @@
         let discovery = Discovery {
             address,
             state: Arc::new((Mutex::new(state), Condvar::new())),
+            calls: Arc::default(),
         };
         let served = discovery.clone();
         std::thread::spawn(move || {
@@ -85,6 +89,7 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut first = String::new();
         reader.read_line(&mut first)?;
+        self.calls.fetch_add(1, Ordering::SeqCst);
         let mut line = String::new();
         while reader.read_line(&mut line)? > 2 {
             line.clear();
@@ -126,7 +131,8 @@
         }
     }
 
-    fn whole_list(&self) -> (u64, String) {
+    /// The whole list, as the page words it, with the index that it has.
+    pub fn whole_list(&self) -> (u64, String) {
         let state = self.state.0.lock().expect("the list");
         let entries: Vec<String> = state.entries.iter().map(Entry::json).collect();
         let text = format!(
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -139,7 +139,8 @@
     }
 }
 
-fn is_ready(address: SocketAddr) -> bool {
+/// Whether the node says that it is ready, as the front asks.
+pub fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(500)) else {
         return false;
     };
