--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -84,6 +84,18 @@
         changed.notify_all();
     }
 
+    /// Replaces the entry of a backend, or adds one, and tells all watches.
+    pub fn set(&self, entry: Entry) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("the list");
+        state.index += 1;
+        let index = state.index;
+        state.entries.retain(|known| known.name != entry.name);
+        state.entries.push(entry.clone());
+        state.changes.push((index, entry));
+        changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone()?);
--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod boxes;
 pub mod client;
 pub mod discovery;
+pub mod etcd;
 pub mod node;
 pub mod record;
 
