Review case 6: lengths that more kernels hold

Cause: how much the kernels take between client, node and box differs between machines.

Change: sixteen lengths from 4.75 to 8.5 MB in place of 3.5 to 12 MB.

--- a/review/rig-2/src/bin/hung_upload.rs
+++ b/review/rig-2/src/bin/hung_upload.rs
@@ -22,7 +22,7 @@
 const WRITE_TIME: Duration = Duration::from_secs(5);
 /// The lengths of the requests. How much the kernels between client, node and box take differs between machines.
 const SIZES_KB: [usize; 16] = [
-    3500, 4000, 4500, 5000, 5500, 6000, 6500, 7000, 7500, 8000, 8500, 9000, 9500, 10000, 11000, 12000,
+    4750, 5000, 5250, 5500, 5750, 6000, 6250, 6500, 6750, 7000, 7250, 7500, 7750, 8000, 8250, 8500,
 ];
 /// A box begins to hang with this much of a long request. Until then boxes read a piece a millisecond.
 const HANGS_AT: usize = 300_000;
