Review case 6: a caller gets another call's refusal, and a correction runs twice

Cause: a Thrift frame for which there is no memory is refused at once, before the call of the same number that is open on its connection has its reply.

Change: the case, with stand-ins for Thrift.

--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod etcd;
 pub mod node;
 pub mod record;
+pub mod thrift;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
