Review case 6: callers of a oneway call get its refusal as the reply to their next

Cause: the node refuses a Thrift frame without memory even if it is a oneway call, which has no reply; the caller takes the refusal for the reply to its next call.

Change: the case has two kinds of callers now, such as make one call after the other and such as send two ahead.

--- a/review/rig-2/src/bin/thrift_order.rs
+++ b/review/rig-2/src/bin/thrift_order.rs
@@ -1,4 +1,5 @@
-//! Callers that number all their calls alike send two ahead on a connection, while other callers fill the node's memory.
+//! Callers that number all their calls alike, while other callers fill the node's memory. Some make a oneway call and then one
+//! with a reply; some send two calls ahead on a connection.
 
 use review_rig_2::discovery::{Discovery, Entry};
 use review_rig_2::node::{self, Folder, Node};
@@ -19,8 +20,9 @@
 /// Whoever is refused calls again after this time, twice at most.
 const PAUSE: Duration = Duration::from_millis(250);
 const RETRIES: usize = 2;
-/// Callers that send two calls ahead.
-const CALLERS: usize = 12;
+/// Callers that make a oneway call and then wait for the reply of another, and callers that send two calls ahead.
+const IN_TURN: usize = 8;
+const AHEAD: usize = 8;
 const SHEET: usize = 60_000;
 const RUN: Duration = Duration::from_secs(20);
 /// The type of an exception that says: refused, to call again is harmless.
@@ -45,7 +47,7 @@
                     *count += 1;
                     *count
                 };
-                if call.starts_with("pair") {
+                if !call.starts_with("other") {
                     record.line(format_args!("{named} runs {call}, time {count}"));
                 }
                 std::thread::sleep(WORK);
@@ -68,6 +70,8 @@
         "[thrift]\nlisten = \"{thrift_listen}\"\n\
          [[thrift.method]]\nname = \"correct\"\nclass = \"tally-correct\"\nstation_key = \"1\"\n\
          default_tenant = \"semarang\"\n\
+         [[thrift.method]]\nname = \"note\"\nclass = \"tally-correct\"\nstation_key = \"1\"\n\
+         default_tenant = \"semarang\"\n\
          [[thrift.backend]]\ntype = \"std-4\"\nencoding = \"binary\"\n"
     );
     let config =
@@ -84,10 +88,13 @@
             std::thread::spawn(move || load(thrift_listen, number, &ended, &loaded))
         })
         .collect();
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..IN_TURN + AHEAD)
         .map(|number| {
             let (record, ended) = (record.clone(), ended.clone());
-            std::thread::spawn(move || pairs(&record, thrift_listen, number, &ended))
+            std::thread::spawn(move || match number {
+                0..IN_TURN => turns(&record, thrift_listen, number, &ended),
+                _ => pairs(&record, thrift_listen, number, &ended),
+            })
         })
         .collect();
     std::thread::sleep(RUN);
@@ -150,6 +157,53 @@
     }
 }
 
+/// Makes a oneway call, then one with a reply, and reads that, one after the other. All have the number 0. What is refused is
+/// called again, as the reply says that this is harmless.
+fn turns(record: &Record, to: SocketAddr, number: usize, ended: &AtomicBool) -> Vec<String> {
+    let mut broken = Vec::new();
+    let mut stream = connect(to);
+    for turn in 0.. {
+        if ended.load(Ordering::SeqCst) {
+            return broken;
+        }
+        let (note, call) = (format!("note-{number}-{turn}"), format!("call-{number}-{turn}"));
+        let _ = stream.write_all(&thrift::oneway("note", 0, "station-1", &sheet(&note)));
+        for _ in 0..=RETRIES {
+            let frame = thrift::call("correct", 0, "station-1", &sheet(&call));
+            if stream.write_all(&frame).is_err() {
+                record.line(format_args!("{call}: could not be written"));
+                stream = connect(to);
+                break;
+            }
+            let reply = thrift::read_frame(&mut stream).ok().flatten();
+            match reply.and_then(|reply| thrift::read_reply(&reply)) {
+                Some((_, Said::Result(text))) if text == format!("counted {call}") => break,
+                Some((_, Said::Result(text))) => {
+                    let what = format!("the reply to {call} is {text:?}");
+                    record.line(&what);
+                    broken.push(what);
+                    // The caller begins anew, so that a single slip counts once.
+                    stream = connect(to);
+                    break;
+                }
+                Some((_, Said::Exception(REFUSED, text, _))) => {
+                    record.line(format_args!("{call}: {text}"));
+                    std::thread::sleep(PAUSE);
+                }
+                other => {
+                    record.line(format_args!("{call}: {other:?}"));
+                    if other.is_none() {
+                        stream = connect(to);
+                    }
+                    break;
+                }
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    broken
+}
+
 /// Sends two calls ahead, reads two replies, and takes the first for the first call and the second for the second: both have
 /// the number 0. What is refused is called again, as the reply says that this is harmless.
 fn pairs(record: &Record, to: SocketAddr, number: usize, ended: &AtomicBool) -> Vec<String> {
--- a/review/rig-2/src/thrift.rs
+++ b/review/rig-2/src/thrift.rs
@@ -1,6 +1,7 @@
 //! Framed Thrift in the binary encoding, as far as the cases need it, and tally boxes that speak it.
 //!
-//! The service: `string correct(1: string station, 2: binary sheet)`. A sheet begins with the name of its call and a space.
+//! The service: `string correct(1: string station, 2: binary sheet)` and `oneway void note(1: string station, 2: binary sheet)`.
+//! A sheet begins with the name of its call and a space.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,6 +10,7 @@
 const CALL: u8 = 1;
 const REPLY: u8 = 2;
 const EXCEPTION: u8 = 3;
+const ONEWAY: u8 = 4;
 const STRING: u8 = 11;
 const I32: u8 = 8;
 
@@ -42,9 +44,17 @@
     [&(message.len() as u32).to_be_bytes()[..], &message].concat()
 }
 
-/// The frame of a call.
+/// The frame of a call that has a reply.
 pub fn call(name: &str, seqid: i32, station: &str, sheet: &[u8]) -> Vec<u8> {
-    let mut out = head(CALL, name, seqid);
+    arguments(head(CALL, name, seqid), station, sheet)
+}
+
+/// The frame of a call that has none.
+pub fn oneway(name: &str, seqid: i32, station: &str, sheet: &[u8]) -> Vec<u8> {
+    arguments(head(ONEWAY, name, seqid), station, sheet)
+}
+
+fn arguments(mut out: Vec<u8>, station: &str, sheet: &[u8]) -> Vec<u8> {
     field(&mut out, STRING, 1);
     string(&mut out, station.as_bytes());
     field(&mut out, STRING, 2);
@@ -139,7 +149,7 @@
     let _ = stream.set_nodelay(true);
     while let Some(body) = read_frame(&mut stream)? {
         let mut input = Input(&body);
-        let Some((CALL, name, seqid)) = input.head() else {
+        let Some((kind @ (CALL | ONEWAY), name, seqid)) = input.head() else {
             break;
         };
         let mut sheet = Vec::new();
@@ -151,6 +161,9 @@
         }
         let sheet = String::from_utf8_lossy(&sheet).into_owned();
         let result = work(sheet.split(' ').next().unwrap_or_default());
+        if kind == ONEWAY {
+            continue;
+        }
         let mut out = head(REPLY, &name, seqid);
         field(&mut out, STRING, 0);
         string(&mut out, result.as_bytes());
