--- a/review/rig-2/src/bin/hung_upload.rs
+++ b/review/rig-2/src/bin/hung_upload.rs
@@ -52,13 +52,19 @@
                 }
             };
             let (record_work, named) = (record.clone(), name.clone());
-            let work = move |request: &review_rig_2::boxes::Received, stream: &mut std::net::TcpStream| {
+            let work = move |request: &review_rig_2::boxes::Received,
+                             stream: &mut std::net::TcpStream| {
                 record_work.line(format_args!(
                     "{named} ran {} with {} bytes",
                     request.header("x-call-id").unwrap_or("?"),
                     request.body.len()
                 ));
-                answer(stream, "200 OK", "X-Load-Report: inflight=0,queue=0\r\n", b"counted")
+                answer(
+                    stream,
+                    "200 OK",
+                    "X-Load-Report: inflight=0,queue=0\r\n",
+                    b"counted",
+                )
             };
             let tally_box = TallyBox::start(&name, Arc::new(work), Arc::new(progress));
             *own.lock().expect("its flag") = Some(tally_box.hangs.clone());
@@ -76,7 +82,12 @@
     });
     let discovery = Discovery::start(entries.collect());
     let listen = node::free_address();
-    let mut node = Node::start(&folder.0, listen, &node::config(listen, discovery.address), None);
+    let mut node = Node::start(
+        &folder.0,
+        listen,
+        &node::config(listen, discovery.address),
+        None,
+    );
     if !node.wait_ready() {
         record.cannot_run(format_args!("the node is not ready:\n{}", node.log()));
     }
@@ -113,14 +124,22 @@
         record.cannot_run("no box came to hang");
     }
     if let Some(code) = node.ended() {
-        record.cannot_run(format_args!("the node ended with {code:?}:\n{}", node.log()));
+        record.cannot_run(format_args!(
+            "the node ended with {code:?}:\n{}",
+            node.log()
+        ));
     }
     drop(folder);
     record.finish(&broken);
 }
 
 /// Sends a long request and waits for its answer. What was broken, if anything was.
-fn upload(record: &Record, listen: std::net::SocketAddr, number: usize, size: usize) -> Option<String> {
+fn upload(
+    record: &Record,
+    listen: std::net::SocketAddr,
+    number: usize,
+    size: usize,
+) -> Option<String> {
     let id = format!("long-{number}");
     let body = vec![b'x'; size];
     let sent = Sent {
@@ -144,7 +163,10 @@
     let answer = client::read_answer(&mut stream, written + WATCHED, 16 * 1024, |_| {});
     let took = written.elapsed().as_millis() as u64;
     if answer.whole && took <= BUDGET_MS + SLACK_MS {
-        record.line(format_args!("{id}: answered {} after {took} ms", answer.status));
+        record.line(format_args!(
+            "{id}: answered {} after {took} ms",
+            answer.status
+        ));
         return None;
     }
     let what = format!(
@@ -161,7 +183,10 @@
     let _ = stream.set_write_timeout(Some(Duration::from_millis(200)));
     while !bytes.is_empty() {
         if Instant::now() >= until {
-            return Err(format!("{} bytes were left after {WRITE_TIME:?}", bytes.len()));
+            return Err(format!(
+                "{} bytes were left after {WRITE_TIME:?}",
+                bytes.len()
+            ));
         }
         match stream.write(bytes) {
             Ok(count) => bytes = &bytes[count..],
--- a/review/rig-2/src/bin/restart_answer.rs
+++ b/review/rig-2/src/bin/restart_answer.rs
@@ -30,7 +30,9 @@
         .map(|number| {
             let name = format!("box-{number}");
             let (record, named) = (record.clone(), name.clone());
-            let work = move |request: &Received, stream: &mut TcpStream| work(&record, &named, request, stream);
+            let work = move |request: &Received, stream: &mut TcpStream| {
+                work(&record, &named, request, stream)
+            };
             TallyBox::start(&name, Arc::new(work), Arc::new(|_, _| {}))
         })
         .collect();
@@ -45,7 +47,12 @@
     });
     let discovery = Discovery::start(entries.collect());
     let listen = node::free_address();
-    let mut node = Node::start(&folder.0, listen, &node::config(listen, discovery.address), None);
+    let mut node = Node::start(
+        &folder.0,
+        listen,
+        &node::config(listen, discovery.address),
+        None,
+    );
     if !node.wait_ready() {
         record.cannot_run(format_args!("the node is not ready:\n{}", node.log()));
     }
@@ -80,7 +87,10 @@
         .into_iter()
         .filter_map(|client| client.join().expect("a client"))
         .collect();
-    record.line(format_args!("the node's log: {}", node.log().replace('\n', " | ")));
+    record.line(format_args!(
+        "the node's log: {}",
+        node.log().replace('\n', " | ")
+    ));
     drop(folder);
     record.finish(&broken);
 }
@@ -89,13 +99,23 @@
 fn work(record: &Record, name: &str, request: &Received, stream: &mut TcpStream) -> bool {
     let id = request.header("x-call-id").unwrap_or("?").to_owned();
     if !id.starts_with("long") {
-        return answer(stream, "200 OK", "X-Load-Report: inflight=0,queue=0\r\n", b"counted");
+        return answer(
+            stream,
+            "200 OK",
+            "X-Load-Report: inflight=0,queue=0\r\n",
+            b"counted",
+        );
     }
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", PIECE * PIECES);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+        PIECE * PIECES
+    );
     let mut written = stream.write_all(head.as_bytes());
     for piece in 0..PIECES {
         if let Err(error) = &written {
-            record.line(format_args!("{name}: {id} broke off at piece {piece} of {PIECES}: {error}"));
+            record.line(format_args!(
+                "{name}: {id} broke off at piece {piece} of {PIECES}: {error}"
+            ));
             return false;
         }
         written = stream.write_all(&vec![b'a' + (piece % 26) as u8; PIECE]);
@@ -117,10 +137,17 @@
         body: b"",
     };
     let mut stream = client::connect(listen).expect("a connection");
-    stream.write_all(client::head(&sent).as_bytes()).expect("the request is written");
+    stream
+        .write_all(client::head(&sent).as_bytes())
+        .expect("the request is written");
     record.line(format_args!("{id}: sent"));
     let asked = Instant::now();
-    let answer = client::read_answer(&mut stream, asked + Duration::from_secs(40), 16 * 1024, |_| {});
+    let answer = client::read_answer(
+        &mut stream,
+        asked + Duration::from_secs(40),
+        16 * 1024,
+        |_| {},
+    );
     let text = format!(
         "{id}: status {}, {} of {:?} bytes, whole {}, end {:?}, after {} ms",
         answer.status,
--- a/review/rig-2/src/bin/restart_drain.rs
+++ b/review/rig-2/src/bin/restart_drain.rs
@@ -39,7 +39,12 @@
                     record.line(format_args!("{named} got {id}"));
                 }
                 std::thread::sleep(Duration::from_millis(20));
-                answer(stream, "200 OK", "X-Load-Report: inflight=0,queue=0\r\n", b"counted")
+                answer(
+                    stream,
+                    "200 OK",
+                    "X-Load-Report: inflight=0,queue=0\r\n",
+                    b"counted",
+                )
             };
             TallyBox::start(&name, Arc::new(work), Arc::new(|_, _| {}))
         })
@@ -62,7 +67,10 @@
         etcd.put(&format!("/tally/{}", tally_box.name), &value);
     }
     let listen = node::free_address();
-    let operator = format!("[etcd]\nendpoints = [\"{}\"]\nprefix = \"/tally/\"\n", etcd.address);
+    let operator = format!(
+        "[etcd]\nendpoints = [\"{}\"]\nprefix = \"/tally/\"\n",
+        etcd.address
+    );
     // The platform gives each process the list as the node last had it.
     let start = || {
         let known = format!(r#""known":{},"settings":"#, discovery.whole_list().1.trim());
@@ -112,15 +120,23 @@
     let late = count(again + WINDOW_MS, now());
     traffic.end(&record);
     if let Some(code) = node.ended() {
-        record.cannot_run(format_args!("the node ended with {code:?}:\n{}", node.log()));
+        record.cannot_run(format_args!(
+            "the node ended with {code:?}:\n{}",
+            node.log()
+        ));
     }
     if before == 0 {
         record.cannot_run("box-0 got no requests before it drained");
     }
-    record.line(format_args!("the node's log: {}", node.log().replace('\n', " | ")));
+    record.line(format_args!(
+        "the node's log: {}",
+        node.log().replace('\n', " | ")
+    ));
     let mut broken = Vec::new();
     if first > 0 {
-        broken.push(format!("box-0 got {first} requests after the window of its drain"));
+        broken.push(format!(
+            "box-0 got {first} requests after the window of its drain"
+        ));
     }
     if late > 0 {
         broken.push(format!(
@@ -141,7 +157,8 @@
 
 impl Traffic {
     fn start(listen: SocketAddr) -> Self {
-        let (ended, served, other): (Arc<AtomicBool>, Arc<AtomicU64>, Arc<AtomicU64>) = Default::default();
+        let (ended, served, other): (Arc<AtomicBool>, Arc<AtomicU64>, Arc<AtomicU64>) =
+            Default::default();
         let clients = (0..CLIENTS)
             .map(|number| {
                 let (ended, served, other) = (ended.clone(), served.clone(), other.clone());
@@ -169,7 +186,13 @@
     }
 }
 
-fn ask(listen: SocketAddr, number: usize, ended: &AtomicBool, served: &AtomicU64, other: &AtomicU64) {
+fn ask(
+    listen: SocketAddr,
+    number: usize,
+    ended: &AtomicBool,
+    served: &AtomicU64,
+    other: &AtomicU64,
+) {
     let mut stream = client::connect(listen).expect("a connection");
     for call in 0.. {
         if ended.load(Ordering::SeqCst) {
--- a/review/rig-2/src/bin/slow_reader.rs
+++ b/review/rig-2/src/bin/slow_reader.rs
@@ -38,7 +38,11 @@
                 );
                 record.line(format_args!(
                     "{named}: the answer to {id} {}",
-                    if whole { "is written whole" } else { "was broken off by the node" }
+                    if whole {
+                        "is written whole"
+                    } else {
+                        "was broken off by the node"
+                    }
                 ));
                 whole
             };
@@ -56,7 +60,12 @@
     });
     let discovery = Discovery::start(entries.collect());
     let listen = node::free_address();
-    let mut node = Node::start(&folder.0, listen, &node::config(listen, discovery.address), None);
+    let mut node = Node::start(
+        &folder.0,
+        listen,
+        &node::config(listen, discovery.address),
+        None,
+    );
     if !node.wait_ready() {
         record.cannot_run(format_args!("the node is not ready:\n{}", node.log()));
     }
@@ -71,15 +80,26 @@
         .filter_map(|client| client.join().expect("a client"))
         .collect();
     if let Some(code) = node.ended() {
-        record.cannot_run(format_args!("the node ended with {code:?}:\n{}", node.log()));
+        record.cannot_run(format_args!(
+            "the node ended with {code:?}:\n{}",
+            node.log()
+        ));
     }
-    record.line(format_args!("the node's log: {}", node.log().replace('\n', " | ")));
+    record.line(format_args!(
+        "the node's log: {}",
+        node.log().replace('\n', " | ")
+    ));
     drop(folder);
     record.finish(&broken);
 }
 
 /// Reads a long answer. What was broken, if anything was.
-fn read(record: &Record, listen: std::net::SocketAddr, number: usize, slowly: bool) -> Option<String> {
+fn read(
+    record: &Record,
+    listen: std::net::SocketAddr,
+    number: usize,
+    slowly: bool,
+) -> Option<String> {
     let id = format!("long-{number}");
     let sent = Sent {
         method: "GET",
@@ -90,7 +110,9 @@
         body: b"",
     };
     let mut stream = client::connect(listen).expect("a connection");
-    stream.write_all(client::head(&sent).as_bytes()).expect("the request is written");
+    stream
+        .write_all(client::head(&sent).as_bytes())
+        .expect("the request is written");
     let asked = Instant::now();
     let (mut got, mut next, mut longest, mut last) = (0, PIECE, Duration::ZERO, Instant::now());
     let answer = client::read_answer(&mut stream, asked + WATCHED, 8 * 1024, |count| {
--- a/review/rig-2/src/bin/thrift_order.rs
+++ b/review/rig-2/src/bin/thrift_order.rs
@@ -107,10 +107,19 @@
         loader.join().expect("a loader");
     }
     if let Some(code) = node.ended() {
-        record.cannot_run(format_args!("the node ended with {code:?}:\n{}", node.log()));
+        record.cannot_run(format_args!(
+            "the node ended with {code:?}:\n{}",
+            node.log()
+        ));
     }
-    record.line(format_args!("{} calls of the others were served", loaded.load(Ordering::SeqCst)));
-    record.line(format_args!("the node's log: {}", node.log().replace('\n', " | ")));
+    record.line(format_args!(
+        "{} calls of the others were served",
+        loaded.load(Ordering::SeqCst)
+    ));
+    record.line(format_args!(
+        "the node's log: {}",
+        node.log().replace('\n', " | ")
+    ));
     for (call, count) in runs.lock().expect("the runs").iter() {
         if *count > 1 {
             broken.push(format!("{call} ran {count} times"));
@@ -166,7 +175,10 @@
         if ended.load(Ordering::SeqCst) {
             return broken;
         }
-        let (note, call) = (format!("note-{number}-{turn}"), format!("call-{number}-{turn}"));
+        let (note, call) = (
+            format!("note-{number}-{turn}"),
+            format!("call-{number}-{turn}"),
+        );
         let _ = stream.write_all(&thrift::oneway("note", 0, "station-1", &sheet(&note)));
         for _ in 0..=RETRIES {
             let frame = thrift::call("correct", 0, "station-1", &sheet(&call));
@@ -213,7 +225,10 @@
         if ended.load(Ordering::SeqCst) {
             return broken;
         }
-        let mut open = vec![format!("pair-{number}-{pair}-a"), format!("pair-{number}-{pair}-b")];
+        let mut open = vec![
+            format!("pair-{number}-{pair}-a"),
+            format!("pair-{number}-{pair}-b"),
+        ];
         let mut tries = 0;
         while !open.is_empty() && tries <= RETRIES {
             tries += 1;
@@ -248,8 +263,16 @@
                     break;
                 }
             }
-            std::thread::sleep(if refused.is_empty() { Duration::from_millis(20) } else { PAUSE });
-            open = if ended.load(Ordering::SeqCst) { Vec::new() } else { refused };
+            std::thread::sleep(if refused.is_empty() {
+                Duration::from_millis(20)
+            } else {
+                PAUSE
+            });
+            open = if ended.load(Ordering::SeqCst) {
+                Vec::new()
+            } else {
+                refused
+            };
         }
     }
     broken
--- a/review/rig-2/src/boxes.rs
+++ b/review/rig-2/src/boxes.rs
@@ -16,7 +16,10 @@
 
 impl Received {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -25,19 +28,21 @@
 /// connection.
 pub type Work = Arc<dyn Fn(&Received, &mut TcpStream) -> bool + Send + Sync>;
 
+/// Told of every part of a request that has come: the target, and the bytes of the body so far.
+pub type Progress = Arc<dyn Fn(&str, usize) + Send + Sync>;
+
 /// A tally box. While it hangs it reads nothing, as a process that is held up; its connections stay open.
 #[derive(Clone)]
 pub struct TallyBox {
     pub name: String,
     pub address: SocketAddr,
     pub hangs: Arc<AtomicBool>,
-    /// Told of every part of a request that has come: the target, the bytes of the body so far.
-    pub progress: Arc<dyn Fn(&str, usize) + Send + Sync>,
+    pub progress: Progress,
     work: Work,
 }
 
 impl TallyBox {
-    pub fn start(name: &str, work: Work, progress: Arc<dyn Fn(&str, usize) + Send + Sync>) -> Self {
+    pub fn start(name: &str, work: Work, progress: Progress) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a box listens");
         let tally_box = TallyBox {
             name: name.to_owned(),
@@ -87,7 +92,8 @@
                     unread.extend_from_slice(&chunk[..count]);
                     return Ok(true);
                 }
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(error) => return Err(error),
             }
         }
@@ -168,7 +174,9 @@
                     return Ok(None);
                 }
             }
-            request.body.extend_from_slice(&unread[end + 2..end + 2 + size]);
+            request
+                .body
+                .extend_from_slice(&unread[end + 2..end + 2 + size]);
             unread.drain(..end + 2 + size + 2);
             (self.progress)(&request.target, request.body.len());
             if size == 0 {
@@ -180,6 +188,9 @@
 
 /// Writes a whole answer with a length.
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> bool {
-    let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
     stream.write_all(&[head.as_bytes(), body].concat()).is_ok()
 }
--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -16,7 +16,10 @@
 
 /// The head of a request.
 pub fn head(sent: &Sent<'_>) -> String {
-    let key = sent.key.map(|key| format!("Idempotency-Key: {key}\r\n")).unwrap_or_default();
+    let key = sent
+        .key
+        .map(|key| format!("Idempotency-Key: {key}\r\n"))
+        .unwrap_or_default();
     let length = match sent.method {
         "GET" => String::new(),
         _ => format!("Content-Length: {}\r\n", sent.body.len()),
@@ -55,10 +58,16 @@
     let mut chunk = vec![0; most];
     loop {
         if head_end.is_none() {
-            head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4);
+            head_end = bytes
+                .windows(4)
+                .position(|window| window == b"\r\n\r\n")
+                .map(|at| at + 4);
             if let Some(end) = head_end {
                 let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
-                answer.status = head.get(9..12).and_then(|code| code.parse().ok()).unwrap_or(0);
+                answer.status = head
+                    .get(9..12)
+                    .and_then(|code| code.parse().ok())
+                    .unwrap_or(0);
                 answer.chunked = head.contains("transfer-encoding: chunked");
                 answer.length = head
                     .lines()
--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -22,7 +22,13 @@
     pub fn json(&self) -> String {
         format!(
             "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"type\":\"{}\",\"group\":{},\"status\":\"{}\",\"weight\":1.0,\"since_ms\":{}}}",
-            self.name, self.address, self.zone, self.machine_type, self.group, self.status, self.since_ms
+            self.name,
+            self.address,
+            self.zone,
+            self.machine_type,
+            self.group,
+            self.status,
+            self.since_ms
         )
     }
 }
@@ -114,7 +120,10 @@
                 body.len()
             );
         }
-        write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )?;
         let (mut told, list) = self.whole_list();
         write_chunk(&mut stream, &list)?;
         loop {
--- a/review/rig-2/src/etcd.rs
+++ b/review/rig-2/src/etcd.rs
@@ -134,7 +134,13 @@
     frame(stream, HEADERS, END_HEADERS | END_STREAM, id, &trailers)
 }
 
-fn frame(stream: &mut TcpStream, kind: u8, flags: u8, id: u32, payload: &[u8]) -> std::io::Result<()> {
+fn frame(
+    stream: &mut TcpStream,
+    kind: u8,
+    flags: u8,
+    id: u32,
+    payload: &[u8],
+) -> std::io::Result<()> {
     let length = (payload.len() as u32).to_be_bytes();
     let mut out = vec![length[1], length[2], length[3], kind, flags];
     out.extend_from_slice(&id.to_be_bytes());
@@ -183,11 +189,22 @@
 
 /// A field of bytes, or of a message.
 fn bytes(tag: u64, value: &[u8]) -> Vec<u8> {
-    [varint(tag << 3 | 2), varint(value.len() as u64), value.to_vec()].concat()
+    [
+        varint(tag << 3 | 2),
+        varint(value.len() as u64),
+        value.to_vec(),
+    ]
+    .concat()
 }
 
 fn header(revision: u64) -> Vec<u8> {
-    [number(1, 7), number(2, 1), number(3, revision), number(4, 1)].concat()
+    [
+        number(1, 7),
+        number(2, 1),
+        number(3, revision),
+        number(4, 1),
+    ]
+    .concat()
 }
 
 fn key_value(put: &Put) -> Vec<u8> {
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -36,7 +36,9 @@
 /// The deploy file's `run`.
 fn run_command() -> Option<String> {
     let text = fs::read_to_string(root().join("deploy/balancer.toml")).ok()?;
-    let line = text.lines().find(|line| line.trim_start().starts_with("run"))?;
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("run"))?;
     line.split('"').nth(1).map(str::to_owned)
 }
 
@@ -82,7 +84,8 @@
     pub fn start(folder: &Path, listen: SocketAddr, config: &str, operator: Option<&str>) -> Node {
         let config_path = folder.join("config.json");
         fs::write(&config_path, config).expect("the configuration is written");
-        let mut command = run_command().unwrap_or_else(|| "exec target/release/sillward".to_owned());
+        let mut command =
+            run_command().unwrap_or_else(|| "exec target/release/sillward".to_owned());
         if let Some(text) = operator {
             let path = folder.join("operator.toml");
             fs::write(&path, text).expect("the operator file is written");
@@ -145,7 +148,8 @@
         return false;
     };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-    let request = "GET /health/ready HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n";
+    let request =
+        "GET /health/ready HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n";
     if stream.write_all(request.as_bytes()).is_err() {
         return false;
     }
--- a/review/rig-2/src/record.rs
+++ b/review/rig-2/src/record.rs
@@ -48,7 +48,11 @@
         for what in broken {
             self.line(format_args!("BROKEN {what}"));
         }
-        self.line(if broken.is_empty() { "the rule held" } else { "the rule was broken" });
+        self.line(if broken.is_empty() {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        });
         std::process::exit(i32::from(!broken.is_empty()));
     }
 
