--- a/review/rig-2/src/bin/restart_answer.rs
+++ b/review/rig-2/src/bin/restart_answer.rs
@@ -87,10 +87,7 @@
         .into_iter()
         .filter_map(|client| client.join().expect("a client"))
         .collect();
-    record.line(format_args!(
-        "the node's log: {}",
-        node.log().replace('\n', " | ")
-    ));
+    record.line(format_args!("the node's log: {}", node.log_line()));
     drop(folder);
     record.finish(&broken);
 }
--- a/review/rig-2/src/bin/restart_drain.rs
+++ b/review/rig-2/src/bin/restart_drain.rs
@@ -1,18 +1,17 @@
 //! The roster says that a box drains; etcd lists it too. The node is restarted meanwhile.
 
 use review_rig_2::boxes::{Received, TallyBox, answer};
-use review_rig_2::client::{self, Sent};
 use review_rig_2::discovery::{Discovery, Entry};
 use review_rig_2::etcd::Etcd;
 use review_rig_2::node::{self, Folder, Node};
 use review_rig_2::record::Record;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use review_rig_2::traffic::Traffic;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const BOXES: usize = 4;
-const CLIENTS: usize = 4;
 /// What discovery has counts as told after 6 s at the latest; then 2 s of grace, and 50 ms on sockets.
 const WINDOW_MS: u64 = 6000 + 2050;
 /// How long requests to the draining box are looked for after that.
@@ -27,10 +26,13 @@
     let folder = Folder::new();
     // When requests came to the box that drains, in milliseconds since the start.
     let came: Arc<Mutex<Vec<u64>>> = Arc::default();
+    // At the end of its drain box-0 goes, as a drained box does, and answers nothing more.
+    let gone = Arc::new(AtomicBool::new(false));
     let boxes: Vec<TallyBox> = (0..BOXES)
         .map(|number| {
             let name = format!("box-{number}");
             let (record, came, named) = (record.clone(), came.clone(), name.clone());
+            let gone = gone.clone();
             let work = move |request: &Received, stream: &mut TcpStream| {
                 if number == 0 {
                     let at = record.elapsed().as_millis() as u64;
@@ -39,6 +41,9 @@
                     record.line(format_args!("{named} got {id}"));
                 }
                 std::thread::sleep(Duration::from_millis(20));
+                if number == 0 && gone.load(Ordering::SeqCst) {
+                    return false;
+                }
                 answer(
                     stream,
                     "200 OK",
@@ -88,7 +93,7 @@
     let now = || record.elapsed().as_millis() as u64;
     let mut node = start();
     std::thread::sleep(Duration::from_secs(1));
-    let traffic = Traffic::start(listen);
+    let traffic = Traffic::start(listen, &record);
     std::thread::sleep(Duration::from_secs(3));
     let before = count(0, now());
     discovery.set_status("box-0", "terminating");
@@ -115,9 +120,12 @@
         record.line("the node is started again; box-0 still drains");
         node = start();
     }
-    let traffic = Traffic::start(listen);
+    let traffic = Traffic::start(listen, &record);
     std::thread::sleep(Duration::from_millis(WINDOW_MS) + WATCHED);
     let late = count(again + WINDOW_MS, now());
+    record.line("box-0 goes");
+    gone.store(true, Ordering::SeqCst);
+    std::thread::sleep(Duration::from_secs(1));
     traffic.end(&record);
     if let Some(code) = node.ended() {
         record.cannot_run(format_args!(
@@ -128,10 +136,7 @@
     if before == 0 {
         record.cannot_run("box-0 got no requests before it drained");
     }
-    record.line(format_args!(
-        "the node's log: {}",
-        node.log().replace('\n', " | ")
-    ));
+    record.line(format_args!("the node's log: {}", node.log_line()));
     let mut broken = Vec::new();
     if first > 0 {
         broken.push(format!(
@@ -146,76 +151,3 @@
     drop(folder);
     record.finish(&broken);
 }
-
-/// Clients that ask for something that is safe to repeat, again and again.
-struct Traffic {
-    ended: Arc<AtomicBool>,
-    served: Arc<AtomicU64>,
-    other: Arc<AtomicU64>,
-    clients: Vec<std::thread::JoinHandle<()>>,
-}
-
-impl Traffic {
-    fn start(listen: SocketAddr) -> Self {
-        let (ended, served, other): (Arc<AtomicBool>, Arc<AtomicU64>, Arc<AtomicU64>) =
-            Default::default();
-        let clients = (0..CLIENTS)
-            .map(|number| {
-                let (ended, served, other) = (ended.clone(), served.clone(), other.clone());
-                std::thread::spawn(move || ask(listen, number, &ended, &served, &other))
-            })
-            .collect();
-        Traffic {
-            ended,
-            served,
-            other,
-            clients,
-        }
-    }
-
-    fn end(self, record: &Record) {
-        self.ended.store(true, Ordering::SeqCst);
-        for client in self.clients {
-            client.join().expect("a client");
-        }
-        record.line(format_args!(
-            "{} requests were served, {} were not",
-            self.served.load(Ordering::SeqCst),
-            self.other.load(Ordering::SeqCst)
-        ));
-    }
-}
-
-fn ask(
-    listen: SocketAddr,
-    number: usize,
-    ended: &AtomicBool,
-    served: &AtomicU64,
-    other: &AtomicU64,
-) {
-    let mut stream = client::connect(listen).expect("a connection");
-    for call in 0.. {
-        if ended.load(Ordering::SeqCst) {
-            return;
-        }
-        let id = format!("read-{number}-{call}-{}", review_rig_2::unix_ms());
-        let sent = Sent {
-            method: "GET",
-            target: "/tally-read/district-1",
-            id: &id,
-            budget_ms: 1000,
-            key: None,
-            body: b"",
-        };
-        let answer = client::ask(&mut stream, &sent, Duration::from_millis(1600));
-        let counter = if answer.status == 200 { served } else { other };
-        counter.fetch_add(1, Ordering::SeqCst);
-        if !answer.whole {
-            match client::connect(listen) {
-                Ok(new) => stream = new,
-                Err(_) => return,
-            }
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
--- a/review/rig-2/src/bin/thrift_order.rs
+++ b/review/rig-2/src/bin/thrift_order.rs
@@ -116,10 +116,7 @@
         "{} calls of the others were served",
         loaded.load(Ordering::SeqCst)
     ));
-    record.line(format_args!(
-        "the node's log: {}",
-        node.log().replace('\n', " | ")
-    ));
+    record.line(format_args!("the node's log: {}", node.log_line()));
     for (call, count) in runs.lock().expect("the runs").iter() {
         if *count > 1 {
             broken.push(format!("{call} ran {count} times"));
--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -38,6 +38,8 @@
     entries: Vec<Entry>,
     /// The changes, each with the index that it led to.
     changes: Vec<(u64, Entry)>,
+    /// It has moved: it takes no new connection, and ends the open ones.
+    closed: bool,
 }
 
 /// Discovery. Clones are the same one.
@@ -57,6 +59,7 @@
             index: 1,
             entries,
             changes: Vec::new(),
+            closed: false,
         };
         let discovery = Discovery {
             address,
@@ -66,6 +69,9 @@
         let served = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.is_closed() {
+                    return;
+                }
                 let served = served.clone();
                 std::thread::spawn(move || {
                     let _ = served.serve(stream);
@@ -90,6 +96,19 @@
         changed.notify_all();
     }
 
+    /// Ends its watches, and takes no new connection: one more may come up, and is closed.
+    pub fn close(&self) {
+        let (state, changed) = &*self.state;
+        state.lock().expect("the list").closed = true;
+        changed.notify_all();
+        // Wakes the thread that accepts, which drops the listener.
+        drop(TcpStream::connect(self.address));
+    }
+
+    fn is_closed(&self) -> bool {
+        self.state.0.lock().expect("the list").closed
+    }
+
     /// Replaces the entry of a backend, or adds one, and tells all watches.
     pub fn set(&self, entry: Entry) {
         let (state, changed) = &*self.state;
@@ -130,8 +149,13 @@
             let (state, changed) = &*self.state;
             let waiting = state.lock().expect("the list");
             let (now, _) = changed
-                .wait_timeout_while(waiting, Duration::from_secs(2), |state| state.index <= told)
+                .wait_timeout_while(waiting, Duration::from_secs(2), |state| {
+                    state.index <= told && !state.closed
+                })
                 .expect("the list");
+            if now.closed {
+                return Ok(());
+            }
             let news: Vec<String> = now
                 .changes
                 .iter()
--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod record;
 pub mod thrift;
+pub mod traffic;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -136,6 +136,11 @@
         Some(status.code())
     }
 
+    /// The beginning of the node's log, on one line.
+    pub fn log_line(&self) -> String {
+        self.log().replace('\n', " | ").chars().take(1000).collect()
+    }
+
     /// The node's log so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
