--- a/review/rig-2/src/bin/thrift_order.rs
+++ b/review/rig-2/src/bin/thrift_order.rs
@@ -14,11 +14,13 @@
 
 const BOXES: usize = 6;
 /// What a call takes at its box.
-const WORK: Duration = Duration::from_millis(100);
+const WORK: Duration = Duration::from_millis(200);
 /// Callers that fill the memory: one call at a time each, with a sheet of 60 kB.
 const LOADERS: usize = 150;
 /// Whoever is refused calls again after this time, twice at most.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(400);
+/// Between a reply and a caller's next call.
+const REST: Duration = Duration::from_millis(100);
 const RETRIES: usize = 2;
 /// Callers that make a oneway call and then wait for the reply of another, and callers that send two calls ahead.
 const IN_TURN: usize = 8;
@@ -81,7 +83,7 @@
         record.cannot_run(format_args!("the node is not ready:\n{}", node.log()));
     }
     let ended = Arc::new(AtomicBool::new(false));
-    let loaded = Arc::new(AtomicU64::new(0));
+    let loaded: Arc<[AtomicU64; 2]> = Arc::default();
     let loaders: Vec<_> = (0..if trouble { LOADERS } else { 0 })
         .map(|number| {
             let (ended, loaded) = (ended.clone(), loaded.clone());
@@ -113,8 +115,9 @@
         ));
     }
     record.line(format_args!(
-        "{} calls of the others were served",
-        loaded.load(Ordering::SeqCst)
+        "{} calls of the others were served, {} were not",
+        loaded[0].load(Ordering::SeqCst),
+        loaded[1].load(Ordering::SeqCst)
     ));
     record.line(format_args!("the node's log: {}", node.log_line()));
     for (call, count) in runs.lock().expect("the runs").iter() {
@@ -140,7 +143,7 @@
 }
 
 /// One call at a time, again and again.
-fn load(to: SocketAddr, number: usize, ended: &AtomicBool, answered: &AtomicU64) {
+fn load(to: SocketAddr, number: usize, ended: &AtomicBool, told: &[AtomicU64; 2]) {
     let mut stream = connect(to);
     for call in 0.. {
         if ended.load(Ordering::SeqCst) {
@@ -155,9 +158,13 @@
         let reply = thrift::read_frame(&mut stream).ok().flatten();
         match reply.and_then(|reply| thrift::read_reply(&reply)) {
             Some((_, Said::Result(_))) => {
-                answered.fetch_add(1, Ordering::SeqCst);
+                told[0].fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(REST);
+            }
+            Some(_) => {
+                told[1].fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(PAUSE);
             }
-            Some(_) => std::thread::sleep(PAUSE),
             None => stream = connect(to),
         }
     }
@@ -208,7 +215,7 @@
                 }
             }
         }
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(REST);
     }
     broken
 }
@@ -260,11 +267,7 @@
                     break;
                 }
             }
-            std::thread::sleep(if refused.is_empty() {
-                Duration::from_millis(20)
-            } else {
-                PAUSE
-            });
+            std::thread::sleep(if refused.is_empty() { REST } else { PAUSE });
             open = if ended.load(Ordering::SeqCst) {
                 Vec::new()
             } else {
