A long request before a slow or hung backend has its response in time

A client sent some megabytes, a backend read a part and hung, and the client got no response; where the backend read slowly, the response came seconds after its time.

Cause: a request's time counts from its client's last byte, and the node took the moment at which it read that byte. Until then the deadline was 20 minutes away. But the node reads no further than the backend does, while the kernels take the client's last byte.

Change: while a body is received, its last byte counts as sent at the earliest moment at which it may have been: when the node last waited for the client with nothing to read, or when more was missing than the client's kernel can hold. At the deadline the decision module ends the request (BodyOverdue), and the end of a body carries the same moment. New figure overdue_bodies. The tests' backends played by hand moved from tests/bodies.rs to the stand-ins' package.

--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -123,13 +123,21 @@
     },
     /// A request was accepted. The node owes it exactly one final response.
     Request(NewRequest),
-    /// The last byte of a request's body was received; its deadline counts from now.
+    /// The last byte of a request's body was received; its deadline counts from when the client may have sent that.
     BodyComplete {
         /// The request.
         id: RequestId,
+        /// How long ago the client may have sent the last byte, which the node reads late if a backend is slow.
+        since_last_byte: Duration,
         /// Whether the body is consumed and cannot be sent again.
         body_consumed: bool,
     },
+    /// A request's body is still being received, since no server reads it fast enough, and the client may have sent the last
+    /// byte so long ago that its deadline has passed.
+    BodyOverdue {
+        /// The request.
+        id: RequestId,
+    },
     /// The client has received the first bytes of this attempt's response, so no other attempt can serve the request.
     ResponseStarted {
         /// The request.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -149,9 +149,12 @@
             Event::Settings(settings) => self.on_settings(*settings),
             Event::EndpointList { update, endpoints } => self.on_endpoint_list(update, endpoints),
             Event::Request(new) => self.on_request(new, actions),
-            Event::BodyComplete { id, body_consumed } => {
-                self.on_body_complete(id, body_consumed, actions);
-            }
+            Event::BodyComplete {
+                id,
+                since_last_byte,
+                body_consumed,
+            } => self.on_body_complete(id, since_last_byte, body_consumed, actions),
+            Event::BodyOverdue { id } => self.on_body_overdue(id, actions),
             Event::ResponseStarted {
                 id,
                 attempt,
--- a/crates/balancer/src/policy/arrival.rs
+++ b/crates/balancer/src/policy/arrival.rs
@@ -103,11 +103,25 @@
         expected_work.unwrap_or_default() >= limit
     }
 
-    /// A request's body is complete: its deadline counts from now, and its attempts in flight now count as work of their
-    /// servers.
+    /// A request's body is not complete and the client has stopped waiting for the response.
+    pub(super) fn on_body_overdue(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if !request.body_pending() {
+            return;
+        }
+        request.deadline = request.deadline.min(now);
+        self.finish(id, FinishReason::DeadlinePassed, actions);
+    }
+
+    /// A request's body is complete: its deadline counts from its last byte, and its attempts in flight now count as work of
+    /// their servers.
     pub(super) fn on_body_complete(
         &mut self,
         id: RequestId,
+        since_last_byte: Duration,
         body_consumed: bool,
         actions: &mut Vec<Action>,
     ) {
@@ -121,6 +135,7 @@
         let Some(time) = request.time_after_body.take() else {
             return;
         };
+        let time = time.saturating_sub(since_last_byte);
         request.deadline = now + time;
         request.body_consumed |= body_consumed;
         let in_flight = request.attempts.iter().filter(|a| a.is_in_flight());
--- a/crates/balancer/tests/characterization/sequence.rs
+++ b/crates/balancer/tests/characterization/sequence.rs
@@ -131,7 +131,11 @@
             ScheduledEvent::Arrival => self.arrival(),
             ScheduledEvent::BodyComplete(id) => {
                 let body_consumed = self.random.chance(0.3);
-                self.handle(Event::BodyComplete { id, body_consumed });
+                self.handle(Event::BodyComplete {
+                    id,
+                    since_last_byte: Duration::ZERO,
+                    body_consumed,
+                });
             }
             ScheduledEvent::ResponseStarted(id, attempt) => self.response_started(id, attempt),
             ScheduledEvent::AttemptEnd(id, attempt, outcome) => {
@@ -502,6 +506,7 @@
             1 => self.handle(Event::Timer { token: id.0 }),
             2 => self.handle(Event::BodyComplete {
                 id,
+                since_last_byte: Duration::ZERO,
                 body_consumed: false,
             }),
             3 => self.handle(Event::ResponseStarted {
--- a/crates/balancer/tests/decisions/bodies.rs
+++ b/crates/balancer/tests/decisions/bodies.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// The times after which the timers of a request are due.
+fn timers_of(id: u64, actions: &[Action]) -> Vec<Duration> {
+    let timer = |action: &Action| match action {
+        Action::SetTimer { after, token } if *token == id => Some(*after),
+        _ => None,
+    };
+    actions.iter().filter_map(timer).collect()
+}
+
 #[test]
 fn counts_the_deadline_from_the_last_byte_of_the_body() {
     let mut harness = BodyHarness::new();
@@ -65,15 +74,10 @@
         1,
         "it is sent while its body arrives: {actions:?}"
     );
-    let timers = |actions: &[Action]| {
-        let timer = |action: &Action| match action {
-            Action::SetTimer { after, token: 1 } => Some(*after),
-            _ => None,
-        };
-        actions.iter().filter_map(timer).collect::<Vec<_>>()
-    };
     assert!(
-        timers(&actions).iter().all(|after| *after > ms(60_000)),
+        timers_of(1, &actions)
+            .iter()
+            .all(|after| *after > ms(60_000)),
         "no deadline while its body arrives: {actions:?}"
     );
     harness.now += ms(30_000);
@@ -83,10 +87,11 @@
     );
     let actions = harness.handle(Event::BodyComplete {
         id: RequestId(1),
+        since_last_byte: Duration::ZERO,
         body_consumed: true,
     });
     assert_eq!(
-        timers(&actions),
+        timers_of(1, &actions),
         [ms(400)],
         "the latency objective counts from now: {actions:?}"
     );
@@ -100,6 +105,7 @@
         harness
             .handle(Event::BodyComplete {
                 id: RequestId(1),
+                since_last_byte: Duration::ZERO,
                 body_consumed: true
             })
             .is_empty(),
@@ -137,6 +143,21 @@
     );
 }
 
+/// Guards against a deadline that counts from when the end of a body was read, though its client may have sent it earlier.
+#[test]
+fn the_deadline_counts_from_when_the_client_may_have_sent_the_last_byte() {
+    let mut harness = BodyHarness::new();
+    for (id, since_last_byte, left) in [(1, 150, 250), (2, 400, 0), (3, 9_000, 0)] {
+        harness.request(id, 1, true);
+        let actions = harness.handle(Event::BodyComplete {
+            id: RequestId(id),
+            since_last_byte: ms(since_last_byte),
+            body_consumed: true,
+        });
+        assert_eq!(timers_of(id, &actions), [ms(left)], "{actions:?}");
+    }
+}
+
 #[test]
 fn counts_only_requests_with_complete_bodies_towards_overload() {
     let sends_after_24_requests = |complete: bool| {
@@ -148,6 +169,7 @@
             } else {
                 harness.handle(Event::BodyComplete {
                     id: RequestId(id),
+                    since_last_byte: Duration::ZERO,
                     body_consumed: true,
                 });
             }
@@ -177,6 +199,7 @@
     let first = sent_to(&harness.request(3, 1, true))[0];
     harness.handle(Event::BodyComplete {
         id: RequestId(3),
+        since_last_byte: Duration::ZERO,
         body_consumed: true,
     });
     let actions = harness.end(3, first, Outcome::Reset, true);
--- a/crates/forwarding/src/body.rs
+++ b/crates/forwarding/src/body.rs
@@ -57,12 +57,16 @@
     }
 }
 
+/// Returns the earliest time at which the client of a body that is being received may have sent its last byte.
+pub type EarliestLastByte = Box<dyn Fn() -> Duration>;
+
 /// The part of a request body that is still being received, beyond the first bytes in the call.
 pub struct StreamingBody {
     /// The length of the whole body in bytes, if known.
     pub length: Option<u64>,
     /// How long the client waits for a response after the last byte.
     pub time_budget: Duration,
+    earliest_last_byte: EarliestLastByte,
     rest: RefCell<Rest>,
 }
 
@@ -75,16 +79,27 @@
 
 impl StreamingBody {
     /// Creates a body and the sender for the rest of it.
-    pub fn new(length: Option<u64>, time_budget: Duration) -> (Self, BodySender) {
+    pub fn new(
+        length: Option<u64>,
+        time_budget: Duration,
+        earliest_last_byte: EarliestLastByte,
+    ) -> (Self, BodySender) {
         let (sender, receiver) = mpsc::channel(QUEUED_CHUNKS);
         let body = StreamingBody {
             length,
             time_budget,
+            earliest_last_byte,
             rest: RefCell::new(Rest::Available(BodyReceiver(receiver))),
         };
         (body, BodySender(sender))
     }
 
+    /// By when the client must have its final response while its body is being received. It moves on for as long as the
+    /// client can't have sent the last byte.
+    pub fn response_deadline(&self) -> Duration {
+        (self.earliest_last_byte)() + self.time_budget
+    }
+
     /// Takes the rest of the body for an attempt, which consumes the body; `None` if another attempt has taken it.
     pub fn take_rest(&self) -> Option<BodyReceiver> {
         match self.rest.replace(Rest::Consumed) {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,7 +28,9 @@
 
 pub use attempt::{Attempt, AttemptResult, Exchange, StopReason, run_attempt};
 pub use backend_update::{Backend, BackendUpdate, DiscoveryCommand};
-pub use body::{BodyReceiver, BodySender, BodyStream, IncompleteBody, StreamingBody};
+pub use body::{
+    BodyReceiver, BodySender, BodyStream, EarliestLastByte, IncompleteBody, StreamingBody,
+};
 pub use call::{Call, CallProgress, ClientConnectedCheck, ResponseValidator, key_hash};
 pub use health_check::{HealthCheckResponse, HealthCheckResult};
 pub use limits::{
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -177,7 +177,7 @@
             return;
         }
         if let Some(request) = self.requests.remove(&id) {
-            for timer in request.timers {
+            for timer in request.timers.into_iter().chain(request.deadline_timer) {
                 self.timers.cancel(timer);
             }
         }
--- a/crates/forwarding/src/node/events.rs
+++ b/crates/forwarding/src/node/events.rs
@@ -107,6 +107,7 @@
             observer.request_accepted(self.clock.now(), request.class, request.client_retry);
         }
         let pending = PendingRequest::new(call, received_at, response_sender, in_progress, permit);
+        let deadline = pending.response_deadline();
         self.requests.insert(id, pending);
         self.set_request_deadline(id, deadline);
         self.handle_event(Event::Request(request));
@@ -144,15 +145,24 @@
         for id in ids {
             if let Some(request) = self.requests.get(&id) {
                 request.call.deadline.set(responses_by);
+                let deadline = request.response_deadline();
+                self.set_request_deadline(id, deadline);
             }
-            self.set_request_deadline(id, responses_by);
         }
     }
 
-    /// Sets the deadline timer early by the timer resolution, so that the client gets the response before it times out.
+    /// Sets the deadline timer, instead of the one that was set before. It is early by the timer resolution, so that the
+    /// client gets the response before it times out.
     fn set_request_deadline(&mut self, id: RequestId, deadline: Duration) {
         let due = deadline.saturating_sub(self.timer_resolution);
-        self.set_timer(due, TimerKind::RequestDeadline(id));
+        let timer = self.timers.set(due, TimerKind::RequestDeadline(id));
+        let earlier = self
+            .requests
+            .get_mut(&id)
+            .and_then(|request| request.deadline_timer.replace(timer));
+        if let Some(earlier) = earlier {
+            self.timers.cancel(earlier);
+        }
     }
 
     fn on_client_disconnected(&mut self, id: RequestId) {
@@ -164,7 +174,8 @@
         self.remove_if_done(id);
     }
 
-    /// Handles the last byte of a streamed body, from which the request's time budget counts.
+    /// Handles the end of a streamed body. The request's time budget counts from `received_at`, when the client may have sent
+    /// the last byte: the node reads it late if a backend is slow.
     fn on_body_received(&mut self, id: RequestId, received_at: Duration) {
         let Some(request) = awaiting_response(&mut self.requests, id) else {
             return;
@@ -178,7 +189,12 @@
         request.body_received_at = Some(received_at);
         request.call.deadline.set(deadline);
         self.set_request_deadline(id, deadline);
-        self.handle_event(Event::BodyComplete { id, body_consumed });
+        let since_last_byte = self.clock.now().saturating_sub(received_at);
+        self.handle_event(Event::BodyComplete {
+            id,
+            since_last_byte,
+            body_consumed,
+        });
         self.remove_if_done(id);
     }
 
@@ -296,10 +312,18 @@
         let Some(request) = awaiting_response(&mut self.requests, id) else {
             return;
         };
-        let deadline = request.call.deadline.get();
+        let body_pending = request.body_pending();
+        let deadline = request.response_deadline();
         if deadline.saturating_sub(self.timer_resolution) > self.clock.now() {
-            return; // the end of the body moved the deadline, for which a later timer is set
+            return self.set_request_deadline(id, deadline); // the client has not sent its last byte yet
+        }
+        if body_pending {
+            self.counters.body_overdue();
+            self.handle_event(Event::BodyOverdue { id });
         }
+        let Some(request) = awaiting_response(&mut self.requests, id) else {
+            return;
+        };
         log_peer(format_args!(
             "request {} failed: it had no response at its deadline",
             id.0
--- a/crates/forwarding/src/node/pending_request.rs
+++ b/crates/forwarding/src/node/pending_request.rs
@@ -19,6 +19,8 @@
     /// The timers to cancel when the request is removed. They may be due much later, since the client chooses its time
     /// budget freely.
     pub(super) timers: Vec<TimerId>,
+    /// The timer of the deadline, which moves while the body is being received.
+    pub(super) deadline_timer: Option<TimerId>,
     response: ResponseState,
     /// Held until the request is removed from the request table.
     _permit: RequestPermit,
@@ -71,6 +73,7 @@
             body_received_at: None,
             attempts: Vec::new(),
             timers: Vec::new(),
+            deadline_timer: None,
             response: ResponseState::Awaited {
                 response_sender,
                 in_progress,
@@ -79,6 +82,23 @@
         }
     }
 
+    /// By when the client must have its final response.
+    ///
+    /// The time budget counts from the client's last byte. While the node does not read the body, since a backend takes none
+    /// of it, the last byte counts as sent at the earliest moment at which it may have been.
+    pub(super) fn response_deadline(&self) -> Duration {
+        let deadline = self.call.deadline.get();
+        match &self.call.streaming_body {
+            Some(body) if self.body_pending() => deadline.min(body.response_deadline()),
+            _ => deadline,
+        }
+    }
+
+    /// Whether the body is still being received.
+    pub(super) fn body_pending(&self) -> bool {
+        self.call.streaming_body.is_some() && self.body_received_at.is_none()
+    }
+
     /// Whether the client still waits for the final response.
     pub(super) fn awaits_response(&self) -> bool {
         matches!(self.response, ResponseState::Awaited { .. })
--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -12,6 +12,7 @@
 use crate::request_error::RequestError;
 use crate::request_head::{Framing, RequestHead, body_framing};
 use crate::response_body::ResponseBody;
+use crate::upload_progress::{ReadWaits, UploadProgress};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -31,7 +32,7 @@
     AfterRequest, ClientConnection, ConnectionHandler, ConnectionManager, SharedLifecycle,
 };
 use sillward_metrics::{Counters, RequestOutcome};
-use sillward_runtime::Stream;
+use sillward_runtime::{Stream, StreamHandle};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -57,6 +58,25 @@
     open_calls: OpenCalls,
 }
 
+/// A client, as far as its requests need it.
+struct Client {
+    connection: Rc<ClientConnection>,
+    socket: StreamHandle,
+    head_scanner: Rc<HeadScanner>,
+    read_waits: Rc<ReadWaits>,
+}
+
+impl Client {
+    /// The progress of a body that starts now.
+    fn upload_progress(&self, framing: Framing) -> Rc<UploadProgress> {
+        UploadProgress::new(
+            self.socket.clone(),
+            self.read_waits.clone(),
+            framing.length(),
+        )
+    }
+}
+
 /// The result of handling a request.
 enum Handled {
     /// A health check by the load balancer in front of the node.
@@ -108,13 +128,13 @@
 
     async fn respond(
         self: Rc<Self>,
-        connection: Rc<ClientConnection>,
-        head_scanner: Rc<HeadScanner>,
+        client: Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Infallible> {
+        let connection = client.connection.clone();
         connection.request_opened();
         let is_http_10 = request.version() < Version::HTTP_11;
-        let handled = self.handle(&connection, request, &head_scanner).await;
+        let handled = self.handle(&client, request).await;
         let after_request = match handled {
             // The start of the next request on the connection is unknown.
             Err(_) | Ok(Handled::BodyUnread(_)) => AfterRequest::Close,
@@ -149,13 +169,12 @@
 
     async fn handle(
         &self,
-        connection: &Rc<ClientConnection>,
+        client: &Client,
         request: Request<Incoming>,
-        head_scanner: &HeadScanner,
     ) -> Result<Handled, RequestError> {
         let (head, body) = request.into_parts();
         let settings = self.settings.snapshot();
-        let framing = body_framing(&head, &body, head_scanner);
+        let framing = body_framing(&head, &body, &client.head_scanner);
         if framing.is_ok() && head.uri.path() == READINESS_PATH {
             return Ok(Handled::Readiness {
                 healthy: self.lifecycle.is_healthy(),
@@ -169,7 +188,9 @@
             }
         };
         let class = head.class;
-        self.forward(connection, head, framing, body, &settings)
+        let progress = client.upload_progress(framing);
+        let body = RequestBody::new(body, progress);
+        self.forward(&client.connection, head, framing, body, &settings)
             .await
             .inspect_err(|_| self.counters.request_ended(class, RequestOutcome::Failed))
     }
@@ -180,10 +201,9 @@
         connection: &Rc<ClientConnection>,
         head: RequestHead,
         framing: Framing,
-        body: Incoming,
+        mut body: RequestBody,
         settings: &SettingsSnapshot,
     ) -> Result<Handled, RequestError> {
-        let mut body = RequestBody::new(body);
         let Some(permit) = self.limit.try_admit() else {
             return Ok(self.reject_over_limit(head.class, body, settings));
         };
@@ -198,7 +218,12 @@
         let (first, streaming) = match accepted {
             Some(BodyStart::Complete(bytes)) => (bytes, None),
             Some(BodyStart::Partial(bytes)) => {
-                let streaming = StreamingBody::new(framing.length(), head.time_budget);
+                let progress = body.progress().clone();
+                let streaming = StreamingBody::new(
+                    framing.length(),
+                    head.time_budget,
+                    Box::new(move || progress.earliest_last_byte()),
+                );
                 (bytes, Some(streaming))
             }
             Some(BodyStart::OutOfMemory) => {
@@ -262,7 +287,8 @@
                 relayed = relay_body(body, &sender) => relayed.map_err(BodyFailure::Client)?,
                 () = self.lifecycle.acceptance_ended(wanted_within) => return Err(BodyFailure::TooLate),
             }
-            let _ = body_received_sender.send(self.node.clock().now()); // fails if the request has its final response
+            // Fails if the request has its final response.
+            let _ = body_received_sender.send(body.progress().earliest_last_byte());
             sender.finish().await;
             std::future::pending().await
         };
@@ -293,16 +319,19 @@
 
 impl ConnectionHandler for Frontend {
     async fn serve(self: Rc<Self>, stream: Stream, connection: Rc<ClientConnection>) {
-        let head_scanner = Rc::<HeadScanner>::default();
+        let client = Rc::new(Client {
+            connection: connection.clone(),
+            socket: stream.handle(),
+            head_scanner: Rc::default(),
+            read_waits: ReadWaits::new(self.node.clock()),
+        });
         let read_ahead = ReadAhead::new(self.budget.clone());
         let observed_stream = stream.share();
-        let service = service_fn(|request| {
-            self.clone()
-                .respond(connection.clone(), head_scanner.clone(), request)
-        });
+        let service = service_fn(|request| self.clone().respond(client.clone(), request));
         let observer = ClientStreamObserver {
-            head_scanner: head_scanner.clone(),
+            head_scanner: client.head_scanner.clone(),
             read_ahead: read_ahead.clone(),
+            read_waits: client.read_waits.clone(),
         };
         let http_connection = http1::Builder::new()
             // hyper's timeout would also apply to idle connections, for which the connection manager has one.
--- a/crates/http1/src/hyper_io.rs
+++ b/crates/http1/src/hyper_io.rs
@@ -5,7 +5,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 /// The maximum size of one read.
 pub(crate) const READ_CHUNK_BYTES: usize = 8 * 1024;
@@ -24,6 +24,8 @@
 pub trait StreamObserver {
     /// Called with the bytes that hyper receives.
     fn bytes_read(&self, _bytes: &[u8]) {}
+    /// Called when there is nothing for hyper to read.
+    fn read_blocked(&self) {}
     /// Copies bytes that were read ahead of hyper into `target`, and returns their number.
     fn take_read_ahead(&self, _target: &mut [u8]) -> usize {
         0
@@ -65,7 +67,13 @@
             let max_count = target.remaining().min(READ_CHUNK_BYTES);
             let chunk = &mut chunk[..max_count];
             let count = match self.observer.take_read_ahead(chunk) {
-                0 => ready!(self.stream.poll_read(cx, chunk))?,
+                0 => match self.stream.poll_read(cx, chunk) {
+                    Poll::Ready(count) => count?,
+                    Poll::Pending => {
+                        self.observer.read_blocked();
+                        return Poll::Pending;
+                    }
+                },
                 read_ahead => read_ahead,
             };
             self.observer.bytes_read(&chunk[..count]);
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -16,6 +16,7 @@
 mod request_error;
 mod request_head;
 mod response_body;
+mod upload_progress;
 
 pub use backend::{BackendClient, Http1, Session};
 pub use frontend::Frontend;
--- a/crates/http1/src/read_ahead.rs
+++ b/crates/http1/src/read_ahead.rs
@@ -4,6 +4,7 @@
 
 use crate::head_scanner::HeadScanner;
 use crate::hyper_io::{READ_CHUNK_BYTES, StreamObserver, with_read_chunk};
+use crate::upload_progress::ReadWaits;
 use bytes::{Buf, BytesMut};
 use sillward_forwarding::{
     MAX_BUFFERED_RESPONSE_BYTES, MemoryBudget, MemoryReservation, READ_BUFFER_BYTES,
@@ -108,11 +109,17 @@
 pub(crate) struct ClientStreamObserver {
     pub(crate) head_scanner: Rc<HeadScanner>,
     pub(crate) read_ahead: Rc<ReadAhead>,
+    pub(crate) read_waits: Rc<ReadWaits>,
 }
 
 impl StreamObserver for ClientStreamObserver {
     fn bytes_read(&self, bytes: &[u8]) {
         self.head_scanner.bytes_read(bytes);
+        self.read_waits.bytes_read(bytes);
+    }
+
+    fn read_blocked(&self) {
+        self.read_waits.read_blocked();
     }
 
     fn take_read_ahead(&self, target: &mut [u8]) -> usize {
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -2,6 +2,7 @@
 
 use crate::request_error::RequestError;
 use crate::request_head::Framing;
+use crate::upload_progress::UploadProgress;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -11,6 +12,7 @@
 };
 use sillward_logging::log_peer;
 use sillward_runtime::time::{Instant, timeout};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The maximum length of a short body, which is read completely before its request is submitted. The same as for responses
@@ -28,7 +30,7 @@
     body: Incoming,
     /// The total time for which this node has waited for bytes.
     waited: Duration,
-    received_bytes: u64,
+    progress: Rc<UploadProgress>,
     ended: bool,
 }
 
@@ -44,11 +46,11 @@
 
 impl RequestBody {
     /// A body of which nothing has been read.
-    pub(crate) fn new(body: Incoming) -> Self {
+    pub(crate) fn new(body: Incoming, progress: Rc<UploadProgress>) -> Self {
         RequestBody {
             body,
             waited: Duration::ZERO,
-            received_bytes: 0,
+            progress,
             ended: false,
         }
     }
@@ -60,16 +62,19 @@
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, RequestError> {
         loop {
             let wait_began = Instant::now();
+            self.progress.await_bytes();
             let frame = timeout(self.next_timeout(), self.body.frame()).await;
             self.waited += wait_began.elapsed();
             let Ok(frame) = frame else {
                 log_peer(format_args!(
                     "a client sent its request body too slowly: {} bytes in {:?} of waiting",
-                    self.received_bytes, self.waited
+                    self.progress.received_bytes(),
+                    self.waited
                 ));
                 return Err(RequestError::BodyTooSlow);
             };
             let Some(frame) = frame else {
+                self.progress.bytes_received(0);
                 self.ended = true;
                 return Ok(None);
             };
@@ -77,8 +82,8 @@
             let Ok(data) = frame.into_data() else {
                 continue; // trailers
             };
-            self.received_bytes += data.len() as u64;
-            if self.received_bytes > MAX_BODY_BYTES {
+            self.progress.bytes_received(data.len() as u64);
+            if self.progress.received_bytes() > MAX_BODY_BYTES {
                 return Err(RequestError::BodyTooLarge);
             }
             return Ok(Some(data));
@@ -88,8 +93,8 @@
     /// How long the client may take to send the next bytes. Only the time that this node waits for the client counts, not
     /// the time of a slow backend.
     fn next_timeout(&self) -> Duration {
-        let time_of_bytes =
-            Duration::from_secs_f64(self.received_bytes as f64 / MIN_BODY_BYTES_PER_SECOND);
+        let received_bytes = self.progress.received_bytes() as f64;
+        let time_of_bytes = Duration::from_secs_f64(received_bytes / MIN_BODY_BYTES_PER_SECOND);
         let allowed = BODY_DELAY_ALLOWANCE + time_of_bytes;
         allowed.saturating_sub(self.waited).min(BODY_IDLE_TIMEOUT)
     }
@@ -162,6 +167,11 @@
         Ok(BodyStart::Complete(reservation.attach(bytes.freeze())))
     }
 
+    /// How much was received, and when.
+    pub(crate) fn progress(&self) -> &Rc<UploadProgress> {
+        &self.progress
+    }
+
     /// Whether the body has been read completely.
     pub(crate) fn is_ended(&self) -> bool {
         self.ended
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -54,6 +54,7 @@
     rejected_by_shutdown: Cell<u64>,
     over_request_limit: Cell<u64>,
     queued_messages: Cell<usize>,
+    overdue_bodies: Cell<u64>,
     reloads: Cell<u64>,
     reload_errors: Cell<u64>,
 }
@@ -116,6 +117,12 @@
             .set(self.over_request_limit.get() + 1);
     }
 
+    /// Counts a request whose client may have waited its whole time although the node had not received its body completely;
+    /// it is also counted by its outcome.
+    pub fn body_overdue(&self) {
+        self.overdue_bodies.set(self.overdue_bodies.get() + 1);
+    }
+
     /// Sets the number of messages about requests that wait for the node.
     pub fn set_queued_messages(&self, count: usize) {
         self.queued_messages.set(count);
@@ -160,6 +167,7 @@
             ("shutdown_refused", self.rejected_by_shutdown.get()),
             ("limit_refused", self.over_request_limit.get()),
             ("queued_messages", self.queued_messages.get() as u64),
+            ("overdue_bodies", self.overdue_bodies.get()),
         ];
         for (name, count) in totals {
             let _ = writeln!(out, "node.{name}={count}");
--- a/crates/runtime/src/net/tcp_stream.rs
+++ b/crates/runtime/src/net/tcp_stream.rs
@@ -94,6 +94,14 @@
         }
     }
 
+    /// The number of bytes that the kernel has received and nobody has read; `None` if it can't tell.
+    pub(crate) fn unread_bytes(&self) -> Option<u64> {
+        match &self.0 {
+            Inner::System(stream) => rustix::io::ioctl_fionread(stream).ok(),
+            Inner::Simulated(_) => None,
+        }
+    }
+
     /// As [`AsyncRead::poll_read`], by a shared reference.
     pub(crate) fn poll_read_shared(
         &self,
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -50,6 +50,12 @@
             .is_none_or(|shared| shared.stream.has_peer_closed())
     }
 
+    /// The number of bytes that the kernel has received and nobody has read; `None` if it can't tell, or the stream is
+    /// closed.
+    pub fn unread_bytes(&self) -> Option<u64> {
+        self.0.upgrade()?.stream.unread_bytes()
+    }
+
     /// Whether the stream is open and has nothing to read. Asks the kernel, since Tokio's readiness may be out of date.
     pub fn read_would_block(&self) -> bool {
         self.0
@@ -70,6 +76,11 @@
         (Stream(shared), handle)
     }
 
+    /// A handle that does not keep the stream open.
+    pub fn handle(&self) -> StreamHandle {
+        StreamHandle(Rc::downgrade(&self.0))
+    }
+
     /// Returns another owner of the same stream, which is closed when all owners are dropped.
     pub fn share(&self) -> Stream {
         Stream(self.0.clone())
--- a/testing/scenarios/src/lib.rs
+++ b/testing/scenarios/src/lib.rs
@@ -4,4 +4,6 @@
 pub mod pages;
 pub mod scenario;
 
-pub use sillward_test_servers::{etcd, held_request, ledger, peers, random, relay, tally};
+pub use sillward_test_servers::{
+    etcd, held_request, ledger, peers, random, raw_backend, relay, tally,
+};
--- a/testing/servers/src/lib.rs
+++ b/testing/servers/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod ledger;
 pub mod peers;
 pub mod random;
+pub mod raw_backend;
 pub mod relay;
 pub mod tally;
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -1,10 +1,12 @@
 //! Long bodies, slow peers and all forms of HTTP/1.1, over loopback sockets and byte by byte.
 
 use sillward_scenarios::peers::*;
+use sillward_scenarios::raw_backend::{
+    self, RawBackend, answer, head, pattern, request, with_length,
+};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -12,89 +14,8 @@
 const LONG: u64 = 20_000;
 const MIB: usize = 1 << 20;
 
-/// Bytes that tell where they belong.
-fn pattern(length: usize) -> Vec<u8> {
-    (0..length).map(|i| (i / 7 % 251) as u8).collect()
-}
-
-/// A backend whose connections are played by hand.
-struct Raw {
-    address: SocketAddr,
-    connections: Arc<AtomicUsize>,
-}
-
-impl Raw {
-    /// `play` gets each connection with its number.
-    fn start(play: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("its address");
-        let connections = Arc::new(AtomicUsize::new(0));
-        let (count, play) = (connections.clone(), Arc::new(play));
-        spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let (number, play) = (count.fetch_add(1, Ordering::SeqCst), play.clone());
-                spawn(move || play(number, stream));
-            }
-        });
-        Raw {
-            address,
-            connections,
-        }
-    }
-
-    /// Answers each request with these bytes.
-    fn answering(bytes: Vec<u8>) -> Self {
-        Raw::start(move |_, mut stream| {
-            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
-            while request(&mut reader).is_some() && stream.write_all(&bytes).is_ok() {}
-        })
-    }
-}
-
-/// Reads a request of any framing: its head and its body.
-fn request(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
-    let head = head(reader)?;
-    let low = head.to_lowercase();
-    let mut body = Vec::new();
-    if low.contains("transfer-encoding: chunked") {
-        loop {
-            let mut line = String::new();
-            reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
-            let size = usize::from_str_radix(line.trim().split(';').next()?, 16).ok()?;
-            let mut chunk = vec![0; size + 2];
-            reader.read_exact(&mut chunk).ok()?;
-            body.extend_from_slice(&chunk[..size]);
-            if size == 0 {
-                break;
-            }
-        }
-    } else if let Some(at) = low.find("content-length: ") {
-        body.resize(low[at + 16..].lines().next()?.trim().parse().ok()?, 0);
-        reader.read_exact(&mut body).ok()?;
-    }
-    Some((head, body))
-}
-
-fn head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        reader.read_line(&mut head).ok().filter(|n| *n > 0)?;
-    }
-    Some(head)
-}
-
-fn serving_raw(backends: &[&Raw]) -> (Node, Watch, Discovery) {
-    let (node, mut watch, discovery) = serving_operators(&settings(LONG, ""), &[]);
-    let entries = backends
-        .iter()
-        .enumerate()
-        .map(|(i, b)| entry(&format!("r-{i}"), b.address, "in_service"));
-    watch.line(&list(9, true, &entries.collect::<Vec<_>>()));
-    until(
-        || node.figure("node.known_backends") == backends.len() as u64,
-        "the list",
-    );
-    (node, watch, discovery)
+fn serving_raw(backends: &[&RawBackend]) -> (Node, Watch, Discovery) {
+    raw_backend::serving_raw(&settings(LONG, ""), backends)
 }
 
 fn post(class: &str, framing: &str) -> String {
@@ -110,40 +31,6 @@
     stream
 }
 
-/// Status and body of an answer of any framing; the body is an error if the client can tell that it is not whole.
-fn answer(stream: &TcpStream) -> (u16, Result<Vec<u8>, String>) {
-    let mut reader = BufReader::new(stream);
-    let head = loop {
-        let head = head(&mut reader).expect("a head");
-        if !head.starts_with("HTTP/1.1 1") {
-            break head;
-        }
-    };
-    let status = head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok())
-        .expect("a status");
-    let rest = head.split_once("\r\n").map_or("", |(_, rest)| rest);
-    let text = format!("POST / HTTP/1.1\r\n{rest}");
-    let body = request(&mut BufReader::new(
-        std::io::Cursor::new(text.into_bytes()).chain(reader),
-    ));
-    (
-        status,
-        body.map(|(_, body)| body)
-            .ok_or_else(|| "not whole".to_owned()),
-    )
-}
-
-fn with_length(body: &[u8]) -> Vec<u8> {
-    [
-        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(),
-        body,
-    ]
-    .concat()
-}
-
 fn chunked(body: &[u8], size: usize, end: &str) -> Vec<u8> {
     let mut out = Vec::new();
     for chunk in body.chunks(size) {
@@ -170,7 +57,7 @@
         ];
         for (form, bytes) in forms.into_iter().enumerate() {
             let ends = form == 2;
-            let backend = Raw::start(move |_, mut stream| {
+            let backend = RawBackend::start(move |_, mut stream| {
                 let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
                 while request(&mut reader).is_some() && stream.write_all(&bytes).is_ok() && !ends {}
             });
@@ -205,8 +92,9 @@
 
 #[test]
 fn an_answer_over_the_limit_is_dropped_and_one_that_breaks_is_seen_to() {
-    let over =
-        Raw::answering(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n....".to_vec());
+    let over = RawBackend::answering(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n....".to_vec(),
+    );
     let (node, _watch, _discovery) = serving_raw(&[&over]);
     assert_eq!(node.client().correct().status(), 502);
     let half = pattern(200_000);
@@ -222,7 +110,7 @@
     ]
     .concat();
     for bytes in [lengthy, open] {
-        let backend = Raw::start(move |_, mut stream| {
+        let backend = RawBackend::start(move |_, mut stream| {
             let _ = request(&mut BufReader::new(stream.try_clone().expect("a handle")));
             let _ = stream
                 .write_all(&bytes)
@@ -258,7 +146,7 @@
     let gate = std::sync::Mutex::new(gate);
     let body = pattern(300_000);
     let sent = body.clone();
-    let backend = Raw::start(move |_, mut stream| {
+    let backend = RawBackend::start(move |_, mut stream| {
         let _ = request(&mut BufReader::new(stream.try_clone().expect("a handle")));
         let bytes = with_length(&sent);
         let _ = stream.write_all(&bytes[..1000]);
@@ -297,7 +185,7 @@
 fn more_long_answers_than_memory_holds_slow_down_their_backends_alone() {
     let body = pattern(8 * MIB);
     let bytes = with_length(&body);
-    let long = Raw::start(move |_, mut stream| {
+    let long = RawBackend::start(move |_, mut stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         while let Some((head, _)) = request(&mut reader) {
             let small = head.starts_with("GET");
@@ -346,8 +234,8 @@
 // ---- Requests' bodies ---------------------------------------------------------------------------
 
 /// Answers with the length and a sum of each request's body.
-fn summing() -> Raw {
-    Raw::start(|_, mut stream| {
+fn summing() -> RawBackend {
+    RawBackend::start(|_, mut stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         while let Some((_, body)) = request(&mut reader) {
             if stream
@@ -595,10 +483,10 @@
 }
 
 /// Plays a backend that breaks its first connection once so many bytes of a request have come, and serves all others.
-fn breaking(after: usize, began: Began) -> (Raw, Receiver<usize>) {
+fn breaking(after: usize, began: Began) -> (RawBackend, Receiver<usize>) {
     let (broke, broken) = channel();
     let broke = std::sync::Mutex::new(broke);
-    let backend = Raw::start(move |number, mut stream| {
+    let backend = RawBackend::start(move |number, mut stream| {
         if number == 0 {
             let _ = stream.read_exact(&mut vec![0; after]);
             let _ = broke.lock().expect("the way").send(after);
@@ -614,7 +502,7 @@
     let (began, begins) = channel();
     let (backend, broken) = breaking(100, Began::new(began.clone()));
     let began = Began::new(began);
-    let other = Raw::start(move |_, stream| serve_telling(stream, &began));
+    let other = RawBackend::start(move |_, stream| serve_telling(stream, &began));
     let (node, _watch, _discovery) = serving_raw(&[&backend, &other]);
     let body = pattern(400_000);
     for _ in 0..20 {
@@ -669,7 +557,7 @@
 fn a_client_that_leaves_within_a_long_body_leaves_no_whole_request_behind() {
     let (came, whole) = channel();
     let came = std::sync::Mutex::new(came);
-    let backend = Raw::start(move |_, stream| {
+    let backend = RawBackend::start(move |_, stream| {
         let got = request(&mut BufReader::new(stream)).is_some();
         let _ = came.lock().expect("the way").send(got);
     });
