A process that is told to end gives responses that have begun to their end

After SIGTERM the node exited by itself over responses that backends were still writing: four clients had 4.75 of 6 MB each. Thrift replies that were not read yet were cut off as well.

Cause: the schedule of the shutdown bounds how long a request may be without a response. The listener stopped waiting at its end for responses too, which have no deadline once they have begun.

Evidence: the log says that four connections were open at the end of the graceful shutdown, 3.05 s after SIGTERM, and no request failed at a deadline.

Change: at the end of the schedule the listener disconnects clients that are not being given a response, and waits for the others until they have it or a timeout for lack of progress ends it. A Thrift connection reads only what had arrived by then.

--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -147,6 +147,7 @@
                 rest,
             })) if length.is_some() || !is_http_10 => {
                 let connections = self.connections.clone();
+                connection.response_started();
                 // The request is open until the last byte of its response.
                 let on_end = Box::new(move || {
                     connections.request_finished(&connection, after_request);
--- a/crates/lifecycle/src/shutdown.rs
+++ b/crates/lifecycle/src/shutdown.rs
@@ -11,7 +11,8 @@
 /// Until when a process that shuts down accepts requests, by when each has its response, and when the process exits.
 ///
 /// Every request that was accepted has its final response before the process exits: a request is accepted only while there is
-/// time for its response, and none is open beyond [`ShutdownSchedule::responses_by`].
+/// time for its response, and none is without the start of one beyond [`ShutdownSchedule::responses_by`]. The schedule does not
+/// limit responses that have begun: the process exits once they have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownSchedule {
     max_request_duration: Duration,
@@ -41,12 +42,12 @@
         self.responses_by.saturating_sub(reserved)
     }
 
-    /// By when every open request has its final response.
+    /// By when every open request has its final response, or the start of it.
     pub fn responses_by(&self) -> Duration {
         self.responses_by
     }
 
-    /// When the process exits at the latest. It exits earlier if nothing is open.
+    /// When the process exits unless a response has begun and not ended. It exits earlier if nothing is open.
     pub fn exits_by(&self) -> Duration {
         self.exits_by
     }
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -66,8 +66,12 @@
     socket: StreamHandle,
     accepted: Instant,
     state: Cell<ConnectionState>,
+    /// Whether the client has been given the start of a response to the open request.
+    response_started: Cell<bool>,
     /// Asks the handler to close the connection after its open request, if any.
     close_requested: Notify,
+    /// Asks the handler to end the connection once the responses that it has begun are written.
+    finish_requested: Notify,
     /// Ends the connection immediately.
     terminated: Notify,
 }
@@ -79,7 +83,9 @@
             socket,
             accepted: Instant::now(),
             state: Cell::new(ConnectionState::AwaitingFirstRequest),
+            response_started: Cell::default(),
             close_requested: Notify::new(),
+            finish_requested: Notify::new(),
             terminated: Notify::new(),
         })
     }
@@ -89,8 +95,22 @@
         self.state.set(ConnectionState::RequestOpen);
     }
 
+    /// Must be called when the start of a response is given to the client while its request is still open.
+    pub fn response_started(&self) {
+        self.response_started.set(true);
+    }
+
+    /// Whether the client is being given a response: one whose request is open until its last byte, or one of which bytes are
+    /// still unwritten. Such a response has no deadline. It ends when the client has it, or when client or backend make no
+    /// progress.
+    pub(crate) fn is_responding(&self) -> bool {
+        let started = self.has_open_request() && self.response_started.get();
+        started || self.is_write_blocked()
+    }
+
     /// Marks the connection as waiting for the next request. Called when its open request has ended.
     pub(crate) fn mark_idle(&self) {
+        self.response_started.set(false);
         self.socket.reset_first_received();
         self.state.set(ConnectionState::Idle {
             since: Instant::now(),
@@ -99,6 +119,7 @@
 
     /// Marks the connection as closing. Called when its last request has ended.
     pub(crate) fn mark_closing(&self) {
+        self.response_started.set(false);
         self.socket.reset_first_received();
         self.set_closing();
     }
@@ -108,6 +129,12 @@
         self.state.get() == ConnectionState::RequestOpen
     }
 
+    /// The number of bytes that have arrived and were not read.
+    pub fn unread_bytes(&self) -> usize {
+        let unread = self.socket.unread_bytes().unwrap_or_default();
+        usize::try_from(unread).unwrap_or(usize::MAX)
+    }
+
     /// Whether the connection is open and has no unread bytes.
     pub fn read_would_block(&self) -> bool {
         self.socket.read_would_block()
@@ -219,6 +246,17 @@
         self.close_requested.notified().await;
     }
 
+    /// Asks the handler to end the connection once the responses that it has begun are written.
+    pub(crate) fn request_finish(&self) {
+        self.finish_requested.notify_one();
+    }
+
+    /// Waits for a request to end the connection after the responses that have begun. Only a protocol with several open
+    /// requests on a connection has to heed it: a requested close ends the others.
+    pub async fn finish_requested(&self) {
+        self.finish_requested.notified().await;
+    }
+
     /// Ends the connection immediately.
     pub(crate) fn terminate(&self) {
         self.terminated.notify_one();
--- a/crates/listener/src/manager.rs
+++ b/crates/listener/src/manager.rs
@@ -169,8 +169,11 @@
         }
     }
 
-    /// Requests the close of all connections and waits until they have ended, or until the process must exit. Every request
-    /// that was accepted has its response before that, so a client that is still connected has sent no more than part of one.
+    /// Requests the close of all connections and waits until they have ended.
+    ///
+    /// Every request that was accepted has a response, or the start of one, by the end of the schedule. A response that has
+    /// begun has no deadline: the process waits until its client has it, or until client or backend make no progress. All
+    /// other clients have sent no more than part of a request, and are disconnected.
     async fn close_all(&self, schedule: ShutdownSchedule) {
         self.connections
             .borrow()
@@ -182,14 +185,32 @@
             }
         };
         let exits_by = self.lifecycle.instant(schedule.exits_by());
-        if timeout_at(exits_by, all_ended).await.is_err() {
-            log(format_args!(
-                "{} client connections were still open at the end of the graceful shutdown",
-                self.connection_count()
-            ));
+        let mut all_ended = std::pin::pin!(all_ended);
+        if timeout_at(exits_by, all_ended.as_mut()).await.is_err() {
+            self.disconnect_unless_responding();
+            all_ended.await;
         }
     }
 
+    /// Ends all connections except those whose clients are being given a response, and those when they have it.
+    fn disconnect_unless_responding(&self) {
+        let connections = self.connections.borrow();
+        let mut responding = 0;
+        for connection in connections.values() {
+            if connection.is_responding() {
+                responding += 1;
+                connection.request_finish();
+            } else {
+                connection.terminate();
+            }
+        }
+        log(format_args!(
+            "{} client connections were still open at the end of the graceful shutdown's schedule; \
+             {responding} of them are being given a response, and the process exits after it",
+            connections.len()
+        ));
+    }
+
     /// Enforces the timeouts of connections for as long as the process runs.
     async fn check_timeouts(self: Rc<Self>) {
         loop {
--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -70,6 +70,8 @@
     read_closed: bool,
     /// Whether the node has asked for the connection to be closed.
     closing: bool,
+    /// Set once the node has asked for the connection to end: how many bytes are still read of those that had arrived then.
+    last_bytes: Option<usize>,
 }
 
 impl Session {
@@ -100,6 +102,7 @@
             busy: false,
             read_closed: false,
             closing: false,
+            last_bytes: None,
         }
     }
 
@@ -119,7 +122,7 @@
                 let closed_when_idle = self.closing
                     && !self.reader.is_in_frame()
                     && self.connection.read_would_block();
-                if self.read_closed || closed_when_idle {
+                if self.read_closed || self.last_bytes == Some(0) || closed_when_idle {
                     break;
                 }
             }
@@ -131,7 +134,11 @@
                 frontend,
                 ..
             } = self;
-            let may_read = self.waiting.is_none() && !self.read_closed && self.unparsed.is_empty();
+            let may_read = self.waiting.is_none()
+                && !self.read_closed
+                && self.last_bytes != Some(0)
+                && self.unparsed.is_empty();
+            let read_bytes = chunk.len().min(self.last_bytes.unwrap_or(usize::MAX));
             let write_deadline = self.last_progress + WRITE_TIMEOUT;
             let first_frame = unwritten
                 .front()
@@ -153,16 +160,22 @@
                     Ok(count) if count > 0 => self.advance_written(count),
                     _ => return,
                 },
-                count = stream.read(&mut chunk), if may_read => match count {
+                count = stream.read(&mut chunk[..read_bytes]), if may_read => match count {
                     // The client has closed the connection, which cancels its calls.
                     Ok(0) | Err(_) => return,
-                    Ok(count) => self.unparsed.extend(&chunk[..count]),
+                    Ok(count) => {
+                        self.unparsed.extend(&chunk[..count]);
+                        self.last_bytes = self.last_bytes.map(|left| left.saturating_sub(count));
+                    }
                 },
                 permit = frontend.oneway_limit.admit(), if self.awaits_oneway_permit => {
                     self.awaits_oneway_permit = false;
                     self.oneway_permit = Some(permit);
                 }
                 () = connection.close_requested(), if !self.closing => self.closing = true,
+                () = connection.finish_requested(), if self.last_bytes.is_none() => {
+                    self.last_bytes = Some(connection.unread_bytes());
+                }
                 () = sleep_until(self.frame_deadline.unwrap_or(write_deadline)), if self.frame_deadline.is_some() => {
                     self.reject_input(FrameError::Slow);
                 }
@@ -185,6 +198,7 @@
         if self.unwritten.is_empty() {
             self.last_progress = Instant::now();
         }
+        self.connection.response_started();
         self.unwritten.push_back((frame, reservation));
     }
 
