Replies to Thrift calls of one number keep the calls' order, refusals too

A caller that sends one number with every call got the refusal of one call as the reply to another that was running; who called again had a correction run twice.

Cause: a frame for which there is no memory was refused at once, past the check by which a whole frame waits for earlier calls of its number, and without a look at whether it is a oneway call. A frame that stalls and input that is not framed took the same way.

Change: whatever a client sends waits for the open calls of its number in one function, before any reply is queued. A oneway call without memory is dropped without a reply; a stalled frame is answered under its own number where that has come. New figure memory_refused.

--- a/crates/http1/src/frontend/rejections.rs
+++ b/crates/http1/src/frontend/rejections.rs
@@ -16,6 +16,7 @@
         settings: &SettingsSnapshot,
     ) -> Handled {
         log_peer("rejected a request: the memory budget for bodies is exhausted");
+        self.counters.out_of_memory();
         self.reject_unsent(class, body, settings)
     }
 
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -55,6 +55,7 @@
     over_request_limit: Cell<u64>,
     queued_messages: Cell<usize>,
     overdue_bodies: Cell<u64>,
+    out_of_memory: Cell<u64>,
     reloads: Cell<u64>,
     reload_errors: Cell<u64>,
 }
@@ -123,6 +124,11 @@
         self.overdue_bodies.set(self.overdue_bodies.get() + 1);
     }
 
+    /// Counts a request that was rejected because the memory budget is exhausted.
+    pub fn out_of_memory(&self) {
+        self.out_of_memory.set(self.out_of_memory.get() + 1);
+    }
+
     /// Sets the number of messages about requests that wait for the node.
     pub fn set_queued_messages(&self, count: usize) {
         self.queued_messages.set(count);
@@ -168,6 +174,7 @@
             ("limit_refused", self.over_request_limit.get()),
             ("queued_messages", self.queued_messages.get() as u64),
             ("overdue_bodies", self.overdue_bodies.get()),
+            ("memory_refused", self.out_of_memory.get()),
         ];
         for (name, count) in totals {
             let _ = writeln!(out, "node.{name}={count}");
--- a/crates/metrics/tests/counters.rs
+++ b/crates/metrics/tests/counters.rs
@@ -26,7 +26,7 @@
          node.handled.submit.passed=0\nnode.handled.submit.dropped=1\nnode.handled.submit.bad_gateway=1\n\
          node.handled.late.passed=1\nnode.handled.late.dropped=0\nnode.handled.late.bad_gateway=0\n\
          node.upstream_tries=0\nnode.in_progress=0\nnode.known_backends=9\nnode.skipped_backends=2\n\
-         node.loads=0\nnode.load_errors=0\nnode.older_settings=0\nnode.shutdown_refused=0\nnode.limit_refused=0\nnode.queued_messages=0\nnode.overdue_bodies=0\n"
+         node.loads=0\nnode.load_errors=0\nnode.older_settings=0\nnode.shutdown_refused=0\nnode.limit_refused=0\nnode.queued_messages=0\nnode.overdue_bodies=0\nnode.memory_refused=0\n"
     );
 }
 
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -18,6 +18,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The sequence number of a reply to a message whose own number can't be read.
+pub const UNKNOWN_SEQID: i32 = 0;
+
 const MAX_TIME_BUDGET_MS: i64 = 600_000;
 /// The longest station key and idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
@@ -65,7 +68,14 @@
     let message = read_head(bytes, &config.limits).map_err(|error| {
         let encoding = crate::wire::encoding_of(bytes).unwrap_or(Encoding::Binary { strict: true });
         let text = format!("no message: {error}");
-        let frame = exception(encoding, "", 0, ExceptionKind::ProtocolError, &text, None);
+        let frame = exception(
+            encoding,
+            "",
+            UNKNOWN_SEQID,
+            ExceptionKind::ProtocolError,
+            &text,
+            None,
+        );
         InvalidCall {
             reply_frame: Some(frame),
             ends_connection: true,
@@ -81,8 +91,8 @@
     }
 }
 
-/// Rejects a message whose head is valid; the connection goes on.
-fn invalid_call(message: &Message<'_>, kind: ExceptionKind, text: &str) -> InvalidCall {
+/// Rejects a message whose head is valid; the connection goes on. A oneway call has no reply.
+pub fn invalid_call(message: &Message<'_>, kind: ExceptionKind, text: &str) -> InvalidCall {
     let expects_reply = message.head.kind != Kind::Oneway;
     let reply_frame = expects_reply.then(|| {
         let ReplyContext {
--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -1,13 +1,13 @@
 //! A client's connection: reads framed calls, with several in flight, and writes the replies.
 
+mod input;
 mod rejections;
 
 use super::Frontend;
 use crate::calls::{self, ReplyContext, ValidatedCall};
-use crate::config::ReplyOrder;
-use crate::wire::{FrameProgress, FrameReader, read_head};
+use crate::wire::{FrameProgress, FrameReader};
 use bytes::Bytes;
-use rejections::FrameError;
+use input::Input;
 use sillward_balancer::NewRequest;
 use sillward_forwarding::{
     Call, FinalResponse, MemoryReservation, READ_BUFFER_BYTES, RequestPermit,
@@ -48,9 +48,9 @@
     unparsed: VecDeque<u8>,
     /// When the frame that is being read must be complete.
     frame_deadline: Option<Instant>,
-    /// A frame that has to wait for other calls of the connection, or for the limit of oneway calls.
-    waiting: Option<Bytes>,
-    /// Set while the waiting frame is a oneway call for which the limit has no permit.
+    /// Input that has to wait for other calls of the connection, or for the limit of oneway calls.
+    waiting: Option<Input>,
+    /// Set while the waiting input is a oneway call for which the limit has no permit.
     awaits_oneway_permit: bool,
     /// The permit of the waiting oneway call.
     oneway_permit: Option<RequestPermit>,
@@ -177,7 +177,9 @@
                     self.last_bytes = Some(connection.unread_bytes());
                 }
                 () = sleep_until(self.frame_deadline.unwrap_or(write_deadline)), if self.frame_deadline.is_some() => {
-                    self.reject_input(FrameError::Slow);
+                    self.frame_deadline = None;
+                    let beginning = Bytes::copy_from_slice(self.reader.beginning());
+                    self.handle_input(Input::SlowFrame(beginning));
                 }
                 () = sleep_until(write_deadline), if !unwritten.is_empty() => return,
             }
@@ -218,8 +220,8 @@
     /// Parses frames from the bytes that were read, until one of them has to wait.
     fn parse_frames(&mut self) {
         if !self.awaits_oneway_permit {
-            if let Some(frame) = self.waiting.take() {
-                self.handle_frame(frame);
+            if let Some(input) = self.waiting.take() {
+                self.handle_input(input);
             }
         }
         let unwritten: usize = self.unwritten.iter().map(|(frame, _)| frame.len()).sum();
@@ -250,31 +252,22 @@
             match (progress, reservation) {
                 (FrameProgress::Complete(frame), Some(reservation)) => {
                     let frame = reservation.attach(frame.into());
-                    self.handle_frame(frame);
+                    self.handle_input(Input::Frame(frame));
                 }
-                (FrameProgress::Discarded(begin), _) => {
-                    self.reject_input(FrameError::NoMemory(&begin))
+                (FrameProgress::Discarded(beginning), _) => {
+                    self.handle_input(Input::DiscardedFrame(beginning.into()));
                 }
                 (FrameProgress::NotFramed(reason), _) => {
-                    self.reject_input(FrameError::NotFramed(reason))
+                    self.handle_input(Input::NotFramed(reason));
                 }
                 _ => self.read_closed = true,
             }
         }
     }
 
-    /// Handles a complete frame, or lets it wait for other calls of the connection.
+    /// Handles a complete frame, which has not to wait any more.
     fn handle_frame(&mut self, frame: Bytes) {
         let config = &self.frontend.config;
-        let seqid = read_head(&frame, &config.limits).map(|message| message.head.seqid);
-        let must_wait = match config.reply_order {
-            ReplyOrder::Arrival => !self.open_seqids.is_empty() || !self.unwritten.is_empty(),
-            ReplyOrder::Completion => seqid.is_ok_and(|seqid| self.open_seqids.contains(&seqid)),
-        };
-        if must_wait || self.calls.len() >= config.max_calls_in_flight {
-            self.waiting = Some(frame);
-            return;
-        }
         let oneway_permit = self.oneway_permit.take();
         self.connection.request_opened();
         self.busy = true;
@@ -297,7 +290,7 @@
             Ok(ValidatedCall { request, call, .. }) if !call.expects_response => {
                 match self.admit_oneway(oneway_permit) {
                     Some(permit) => self.submit_oneway(permit, request, call, now),
-                    None => self.waiting = Some(frame),
+                    None => self.waiting = Some(Input::Frame(frame)),
                 }
             }
             Ok(ValidatedCall {
--- a/crates/thrift/src/frontend/session/rejections.rs
+++ b/crates/thrift/src/frontend/session/rejections.rs
@@ -1,8 +1,8 @@
 //! Calls and input that a session turns down, and the replies that say so.
 
 use super::Session;
-use crate::calls::{self, InvalidCall, ReplyContext};
-use crate::wire::{Encoding, ExceptionKind, NotFramed, exception};
+use crate::calls::{self, InvalidCall, ReplyContext, UNKNOWN_SEQID};
+use crate::wire::{Encoding, ExceptionKind, Kind, NotFramed, exception};
 use sillward_forwarding::{Call, FinalResponse};
 use sillward_logging::log_peer;
 use sillward_metrics::RequestOutcome;
@@ -12,16 +12,6 @@
     b"HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nContent-Length: 36\r\n\
 Connection: close\r\n\r\nThis listener speaks framed Thrift.\n";
 
-/// Why the input yields no complete frame.
-pub(super) enum FrameError<'a> {
-    /// The frame was not complete in time.
-    Slow,
-    /// There was no memory for the frame, of which this is the beginning.
-    NoMemory(&'a [u8]),
-    /// The input is not framed Thrift, or the frame is too long.
-    NotFramed(NotFramed),
-}
-
 impl Session {
     /// Rejects a call that is not admitted.
     pub(super) fn reject_over_limit(&mut self, call: &Call, context: &ReplyContext) {
@@ -62,45 +52,64 @@
         self.read_closed |= invalid.ends_connection;
     }
 
-    /// Replies to input that yields no complete frame.
-    pub(super) fn reject_input(&mut self, error: FrameError<'_>) {
-        let strict = Encoding::Binary { strict: true };
-        let protocol_error = |encoding, text: &str| {
-            exception(encoding, "", 0, ExceptionKind::ProtocolError, text, None)
+    /// Rejects a call for whose frame there was no memory.
+    pub(super) fn reject_discarded(&mut self, beginning: &[u8]) {
+        let message = match calls::read_call_head(&self.frontend.config, beginning) {
+            Ok(message) => message,
+            Err(invalid) => return self.reject_invalid(invalid),
         };
-        self.frame_deadline = None;
-        let (frame, ends_connection) = match error {
-            FrameError::NoMemory(begin) => {
-                match calls::read_call_head(&self.frontend.config, begin) {
-                    Ok(message) => {
-                        log_peer("rejected a call: no memory for its frame");
-                        (self.rejection(&ReplyContext::of(&message)), false)
-                    }
-                    Err(invalid) => return self.reject_invalid(invalid),
-                }
-            }
-            FrameError::Slow => (
-                protocol_error(strict, "too slow: the frame is not whole after 2 s"),
-                true,
-            ),
-            FrameError::NotFramed(NotFramed::Http) => (HTTP_RESPONSE.to_vec(), true),
-            FrameError::NotFramed(NotFramed::Unframed) => {
-                let text = "this listener takes framed messages only";
-                // The client reads no frames either, so the reply goes without the frame's length.
-                (protocol_error(strict, text).split_off(4), true)
+        log_peer("rejected a call: no memory for its frame");
+        self.frontend.counters.out_of_memory();
+        if message.head.kind != Kind::Oneway {
+            let frame = self.rejection(&ReplyContext::of(&message));
+            self.queue_reply(frame, None);
+        }
+    }
+
+    /// Ends the connection after a frame that was not complete in time.
+    pub(super) fn reject_slow(&mut self, beginning: &[u8]) {
+        let text = "too slow: the frame is not whole after 2 s";
+        match calls::read_call_head(&self.frontend.config, beginning) {
+            Ok(message) => self.reject_invalid(calls::invalid_call(
+                &message,
+                ExceptionKind::ProtocolError,
+                text,
+            )),
+            Err(_) => self.queue_reply(unnumbered_error(text), None),
+        }
+        self.read_closed = true;
+    }
+
+    /// Ends the connection after input that is not framed.
+    pub(super) fn reject_not_framed(&mut self, reason: NotFramed) {
+        let frame = match reason {
+            NotFramed::Http => HTTP_RESPONSE.to_vec(),
+            // The client reads no frames either, so the reply goes without the frame's length.
+            NotFramed::Unframed => {
+                unnumbered_error("this listener takes framed messages only").split_off(4)
             }
-            FrameError::NotFramed(NotFramed::Tls) => (Vec::new(), true),
-            FrameError::NotFramed(NotFramed::Length(length)) => {
+            NotFramed::Tls => Vec::new(),
+            NotFramed::Length(length) => {
                 let max = self.frontend.config.limits.max_frame_bytes;
-                (
-                    protocol_error(strict, &format!("a frame of {length} bytes: {max} at most")),
-                    true,
-                )
+                unnumbered_error(&format!("a frame of {length} bytes: {max} at most"))
             }
         };
         if !frame.is_empty() {
             self.queue_reply(frame, None);
         }
-        self.read_closed |= ends_connection;
+        self.read_closed = true;
     }
 }
+
+/// The reply to a message whose head is unknown.
+fn unnumbered_error(text: &str) -> Vec<u8> {
+    let strict = Encoding::Binary { strict: true };
+    exception(
+        strict,
+        "",
+        UNKNOWN_SEQID,
+        ExceptionKind::ProtocolError,
+        text,
+        None,
+    )
+}
--- a/crates/thrift/src/wire/frame.rs
+++ b/crates/thrift/src/wire/frame.rs
@@ -62,6 +62,11 @@
         self.length_bytes_read > 0
     }
 
+    /// The beginning of the frame that is being read, as far as it has arrived.
+    pub fn beginning(&self) -> &[u8] {
+        &self.body
+    }
+
     /// Parses bytes at most to the end of a frame, and returns how many were used. `reserve` is called with a number
     /// of bytes before more memory is used; if it returns false, the rest of the frame is read but only its beginning
     /// is kept.
