Buffers of forwarded bodies and open requests count against the memory limit

With hundreds of clients that write slowly, stop half way or read slowly a process passes its memory limit and is killed.

Cause: only the bytes of bodies were counted. The buffers on the way of a body that is forwarded, and open requests themselves, Thrift calls above all, grow with what clients do and were not.

Change: a forwarded body reserves 48 KiB, either way, an open request 4 KiB of a budget of its own, so that long bodies keep no small request out. What has no room is refused and counted. A reply from a Thrift backend has its buffer only while it is read.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -42,6 +42,8 @@
     pub client_connections: Rc<ConnectionManager>,
     pub sockets: Rc<ConnectionLimit>,
     pub budget: MemoryBudget,
+    /// The memory for open requests beside their bodies.
+    pub request_budget: MemoryBudget,
     /// HTTP requests that may be open.
     pub limit: RequestLimit,
     pub stop: watch::Receiver<bool>,
@@ -135,6 +137,7 @@
             settings: self.live.clone(),
             connections: connections.clone(),
             budget: self.budget.clone(),
+            request_budget: self.request_budget.clone(),
             lifecycle: self.lifecycle.clone(),
             counters: self.counters.clone(),
         };
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -174,6 +174,7 @@
         + operator.agreement.as_ref().map_or(0, |_| agreement::BYTES)
         + operator.outcomes.as_ref().map_or(0, |_| outcomes::BYTES);
     let fleet_connections = fleet_connections(&config, &operator);
+    let request_budget = MemoryBudget::new(config.request_bytes);
     let budget = MemoryBudget::new(config.body_bytes - fleet_bytes.min(config.body_bytes / 2));
     let sockets = ConnectionLimit::new(config.backend_connections);
     let (counters, live) = (Counters::new(), LiveSettings::new(config.platform.clone()));
@@ -292,8 +293,12 @@
         lifecycle,
         counters,
         live,
+        limit: RequestLimit::new(
+            MIN_OPEN_REQUESTS.max(clients * OPEN_REQUESTS_PER_CONNECTION),
+            request_budget.clone(),
+        ),
+        request_budget,
         budget,
-        limit: RequestLimit::new(MIN_OPEN_REQUESTS.max(clients * OPEN_REQUESTS_PER_CONNECTION)),
         stop: controls.stop.clone(),
         thrift_connections,
     };
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -35,7 +35,7 @@
 pub use health_check::{HealthCheckResponse, HealthCheckResult};
 pub use limits::{
     HEALTH_CHECK_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, MAX_REPLAYABLE_BODY_BYTES,
-    READ_BUFFER_BYTES,
+    READ_BUFFER_BYTES, STREAM_BUFFER_BYTES,
 };
 pub use live_settings::{LiveSettings, SettingsSnapshot};
 pub use load_report::LoadReportParser;
--- a/crates/http1/src/backend/streaming.rs
+++ b/crates/http1/src/backend/streaming.rs
@@ -6,7 +6,8 @@
 use hyper::body::{Body, Incoming};
 use sillward_balancer::{LoadReport, Outcome};
 use sillward_forwarding::{
-    Attempt, BodyStream, IncompleteBody, MAX_BODY_BYTES, Payload, PayloadFormat, ResponseStarted,
+    Attempt, BodyStream, IncompleteBody, MAX_BODY_BYTES, MemoryReservation, Payload, PayloadFormat,
+    ResponseStarted, STREAM_BUFFER_BYTES,
 };
 use sillward_logging::log_peer;
 use sillward_pool::Connection;
@@ -31,6 +32,11 @@
         rest: Incoming,
         report: Option<LoadReport>,
     ) -> Outcome {
+        let Some(buffers) = self.budget.try_reserve(STREAM_BUFFER_BYTES) else {
+            log_peer("dropped a long response: the memory budget for bodies is exhausted");
+            self.counters.out_of_memory();
+            return Outcome::Cancelled; // no fault of the backend
+        };
         let (end_sender, ended) = oneshot::channel();
         let rest = Box::new(StreamingResponse {
             body: rest,
@@ -41,6 +47,7 @@
                 end_sender,
             }),
             client: self.clone(),
+            _buffers: buffers,
             idle_timeout: Box::pin(sleep(STREAM_IDLE_TIMEOUT)),
         });
         let started = ResponseStarted {
@@ -75,6 +82,8 @@
     /// `None` once the response has ended.
     in_progress: Option<InProgress>,
     client: Rc<BackendClient>,
+    /// The memory for what the connections hold of it.
+    _buffers: MemoryReservation,
     idle_timeout: Pin<Box<Sleep>>,
 }
 
--- a/crates/http1/src/request_body.rs
+++ b/crates/http1/src/request_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use sillward_forwarding::{
     MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES, MAX_REPLAYABLE_BODY_BYTES, MemoryBudget,
-    READ_BUFFER_BYTES,
+    MemoryReservation, READ_BUFFER_BYTES, STREAM_BUFFER_BYTES,
 };
 use sillward_logging::log_peer;
 use sillward_runtime::time::{Instant, timeout};
@@ -31,6 +31,8 @@
     /// The total time for which this node has waited for bytes.
     waited: Duration,
     progress: Rc<UploadProgress>,
+    /// The memory for buffers of a long body.
+    stream_buffers: Option<MemoryReservation>,
     ended: bool,
 }
 
@@ -51,6 +53,7 @@
             body,
             waited: Duration::ZERO,
             progress,
+            stream_buffers: None,
             ended: false,
         }
     }
@@ -148,9 +151,13 @@
         budget: &MemoryBudget,
     ) -> Result<BodyStart, RequestError> {
         let mut reserved = MAX_SHORT_BODY_BYTES;
-        let Some(mut reservation) = budget.try_reserve_for_long_body(reserved) else {
+        let stream_buffers = budget.try_reserve_for_long_body(STREAM_BUFFER_BYTES);
+        let (Some(stream_buffers), Some(mut reservation)) =
+            (stream_buffers, budget.try_reserve_for_long_body(reserved))
+        else {
             return Ok(BodyStart::OutOfMemory);
         };
+        self.stream_buffers = Some(stream_buffers);
         let mut bytes = BytesMut::with_capacity(READ_BUFFER_BYTES);
         while let Some(data) = self.next().await? {
             bytes.extend_from_slice(&data);
--- a/crates/node-config/src/config.rs
+++ b/crates/node-config/src/config.rs
@@ -32,6 +32,8 @@
     pub backend_connections: usize,
     /// Most bytes of request and response bodies in memory.
     pub body_bytes: usize,
+    /// Memory for open requests beside their bodies, in bytes.
+    pub request_bytes: usize,
     /// The endpoint list as this node last had it, in discovery's JSON. It may be stale.
     pub known_endpoints: Option<String>,
     /// The platform's settings.
@@ -102,6 +104,7 @@
             client_connections: limits.client_connections,
             backend_connections: limits.backend_connections,
             body_bytes: limits.body_bytes,
+            request_bytes: limits.request_bytes,
             known_endpoints: file.known.map(|known| known.get().to_owned()),
             platform,
             listen_fd: None,
--- a/crates/node-config/src/limits.rs
+++ b/crates/node-config/src/limits.rs
@@ -14,6 +14,8 @@
 const CONNECTION_BYTES: usize = READ_BUFFER_BYTES + 8 * 1024;
 /// Least memory for bodies, in bytes.
 const MIN_BODY_BYTES: usize = 1 << 20;
+/// The least memory for open requests beside their bodies, in bytes.
+const MIN_REQUEST_BYTES: usize = 256 << 10;
 /// Fewer connections are of no use: one to a client and one to a backend.
 const MIN_CONNECTIONS: usize = 2;
 
@@ -22,10 +24,13 @@
     pub(crate) client_connections: usize,
     pub(crate) backend_connections: usize,
     pub(crate) body_bytes: usize,
+    /// Memory for open requests beside their bodies, in bytes.
+    pub(crate) request_bytes: usize,
 }
 
 impl ResourceLimits {
-    /// Splits the limits of the process. Half of the memory at most is for connections; a quarter of the rest is left free.
+    /// Splits the limits of the process. Half of the memory at most is for connections; an eighth of the rest for open
+    /// requests, and an eighth is left free.
     ///
     /// # Errors
     /// [`FileError::Sockets`] if the limit on sockets leaves none for connections.
@@ -48,6 +53,7 @@
             client_connections: connections / 2,
             backend_connections: connections - connections / 2,
             body_bytes: (left / 4 * 3).max(MIN_BODY_BYTES),
+            request_bytes: (left / 8).max(MIN_REQUEST_BYTES),
         })
     }
 }
--- a/crates/thrift/src/backend.rs
+++ b/crates/thrift/src/backend.rs
@@ -307,7 +307,7 @@
             .try_reserve(0)
             .ok_or(ReplyError::Invalid("no memory for it"))?;
         let mut reader = FrameReader::new(self.config.limits.max_frame_bytes);
-        let mut chunk = [0; READ_BUFFER_BYTES];
+        let mut chunk = vec![0; READ_BUFFER_BYTES];
         loop {
             let count = session
                 .stream
--- a/crates/thrift/src/frontend.rs
+++ b/crates/thrift/src/frontend.rs
@@ -44,6 +44,8 @@
     pub connections: Rc<ConnectionManager>,
     /// The memory for frames.
     pub budget: MemoryBudget,
+    /// The memory for open calls beside their frames.
+    pub request_budget: MemoryBudget,
     /// Whether calls are still accepted.
     pub lifecycle: Rc<SharedLifecycle>,
     /// The node's counters.
@@ -58,14 +60,15 @@
             settings,
             connections,
             budget,
+            request_budget,
             lifecycle,
             counters,
         } = services;
         Rc::new(Frontend {
             node,
             settings,
-            limit: RequestLimit::new(config.max_open_calls),
-            oneway_limit: RequestLimit::new(config.max_oneway_calls),
+            limit: RequestLimit::new(config.max_open_calls, request_budget.clone()),
+            oneway_limit: RequestLimit::new(config.max_oneway_calls, request_budget),
             config,
             connections,
             lifecycle,
--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -235,6 +235,9 @@
                 .reader
                 .take(bytes, &mut |bytes| reservation.try_grow(bytes));
             self.unparsed.drain(..used);
+            if self.unparsed.is_empty() {
+                self.unparsed = VecDeque::new(); // an idle connection holds no buffer
+            }
             let reservation = match progress {
                 FrameProgress::Incomplete => {
                     self.frame_deadline = self
