--- a/testing/servers/src/tally.rs
+++ b/testing/servers/src/tally.rs
@@ -25,7 +25,8 @@
 pub const BINARY: Encoding = Encoding::Binary { strict: true };
 /// Both encodings.
 pub const BOTH: [Encoding; 2] = [BINARY, Encoding::Compact];
-const BOUNDS: MessageLimits = MessageLimits {
+/// What these peers read.
+pub const BOUNDS: MessageLimits = MessageLimits {
     max_frame_bytes: 1 << 24,
     max_depth: 64,
     max_name_bytes: 1024,
