A long response is not dropped for want of buffers, and Thrift reads less at once

Cause: a response that is forwarded was dropped where its buffers had no room in the budget.

Change: the reservation is taken where there is room and keeps new requests out; a response goes on without it. A Thrift connection reads 4 KiB at once, not 8, which it holds twice.

--- a/crates/forwarding/src/limits.rs
+++ b/crates/forwarding/src/limits.rs
@@ -17,8 +17,8 @@
 /// buffer.
 pub const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// What is reserved for a body that is being forwarded, in bytes, beside the part that is kept: the read buffers, the queued
-/// chunks and the write buffers of the client's and the backend's connection.
+/// What is reserved for a body that is being forwarded, in bytes, beside the part that is kept: the chunks that are queued on
+/// its way between the client's and the backend's connection.
 pub const STREAM_BUFFER_BYTES: usize = 6 * READ_BUFFER_BYTES;
 
 /// The timeout of a health check. A later result would be out of date.
--- a/crates/http1/src/backend/streaming.rs
+++ b/crates/http1/src/backend/streaming.rs
@@ -32,11 +32,6 @@
         rest: Incoming,
         report: Option<LoadReport>,
     ) -> Outcome {
-        let Some(buffers) = self.budget.try_reserve(STREAM_BUFFER_BYTES) else {
-            log_peer("dropped a long response: the memory budget for bodies is exhausted");
-            self.counters.out_of_memory();
-            return Outcome::Cancelled; // no fault of the backend
-        };
         let (end_sender, ended) = oneshot::channel();
         let rest = Box::new(StreamingResponse {
             body: rest,
@@ -47,7 +42,7 @@
                 end_sender,
             }),
             client: self.clone(),
-            _buffers: buffers,
+            _buffers: self.budget.try_reserve(STREAM_BUFFER_BYTES),
             idle_timeout: Box::pin(sleep(STREAM_IDLE_TIMEOUT)),
         });
         let started = ResponseStarted {
@@ -82,8 +77,9 @@
     /// `None` once the response has ended.
     in_progress: Option<InProgress>,
     client: Rc<BackendClient>,
-    /// The memory for what the connections hold of it.
-    _buffers: MemoryReservation,
+    /// The memory for what the connections hold of it. A response is not dropped for want of it, since its request has run: the
+    /// reservations keep new requests out before.
+    _buffers: Option<MemoryReservation>,
     idle_timeout: Pin<Box<Sleep>>,
 }
 
--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -9,9 +9,7 @@
 use bytes::Bytes;
 use input::Input;
 use sillward_balancer::NewRequest;
-use sillward_forwarding::{
-    Call, FinalResponse, MemoryReservation, READ_BUFFER_BYTES, RequestPermit,
-};
+use sillward_forwarding::{Call, FinalResponse, MemoryReservation, RequestPermit};
 use sillward_listener::{AfterRequest, ClientConnection, READ_TIMEOUT};
 use sillward_runtime::Stream;
 use sillward_runtime::task::{JoinSet, spawn_local};
@@ -22,6 +20,8 @@
 
 /// A connection is closed after this long without progress in writing replies to it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The most that is read at once: each connection holds as much, and what it has not parsed yet.
+const READ_CHUNK_BYTES: usize = 4 * 1024;
 /// While more than this many bytes of replies wait to be written, no further call of the connection is processed.
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
 /// How a call of a connection ended.
@@ -108,7 +108,7 @@
 
     /// Reads calls and writes replies until the connection ends.
     pub(super) async fn run(&mut self) {
-        let mut chunk = [0; READ_BUFFER_BYTES];
+        let mut chunk = [0; READ_CHUNK_BYTES];
         loop {
             self.parse_frames();
             if self.is_idle() {
