GET /admin/membership shows the start that a report names, and whether it counts

Need: where two sources differ, the page showed what each says and not why one of them has no effect.

Change: each backend has the start time that all come to (`since_ms`), each report the start that it names, how long ago it was said last (`last_said_ms`) and whether it has no effect (`obsolete`). What counts is as before.

--- a/crates/app/src/pages.rs
+++ b/crates/app/src/pages.rs
@@ -1,7 +1,7 @@
 //! What operators see: plain JSON.
 
 use sillward_balancer::ServerState;
-use sillward_endpoints::{MergedEndpoints, SourceState};
+use sillward_endpoints::{ListedEndpoint, MergedEndpoints, SourceEntry, SourceState};
 use sillward_runtime::Clock;
 use std::cell::RefCell;
 use std::fmt::Write;
@@ -50,16 +50,16 @@
     out.pop();
     out.push_str(",\"backends\":[");
     let (now, membership) = (clock.now(), membership.borrow());
-    let age = |at: Duration| now.saturating_sub(at).as_millis();
     let sources = membership.source_statuses();
     for (i, line) in membership.endpoints().enumerate() {
         let comma = if i > 0 { "," } else { "" };
         let _ = write!(
             out,
-            "{comma}{{\"id\":\"{:016x}\",\"address\":\"{}\",\"state\":\"{}\",\"said\":{{",
+            "{comma}{{\"id\":\"{:016x}\",\"address\":\"{}\",\"state\":\"{}\",\"since_ms\":{},\"said\":{{",
             line.endpoint.id.0,
             line.address,
-            state(line.endpoint.state)
+            state(line.endpoint.state),
+            since_ms(line)
         );
         let said = membership.source_entries(line.endpoint.id);
         let words = sources
@@ -68,16 +68,33 @@
             .filter_map(|(source, said)| said.map(|said| (&source.name, said)));
         for (j, (name, said)) in words.enumerate() {
             let comma = if j > 0 { "," } else { "" };
-            let _ = write!(
-                out,
-                "{comma}\"{name}\":{{\"state\":\"{}\",\"age_ms\":{},\"held\":{}}}",
-                state(said.listed.endpoint.state),
-                age(said.since),
-                said.removal_withheld_since.is_some()
-            );
+            let _ = write!(out, "{comma}\"{name}\":");
+            write_report(&mut out, now, &said, membership.is_obsolete(&said));
         }
         out.push_str("}}");
     }
     out.push_str("]}");
     out
 }
+
+/// A source's report on a backend, and whether it is about an earlier incarnation and so has no effect.
+fn write_report(out: &mut String, now: Duration, report: &SourceEntry, is_obsolete: bool) {
+    let age = |at: Duration| now.saturating_sub(at).as_millis();
+    let _ = write!(
+        out,
+        "{{\"state\":\"{}\",\"age_ms\":{},\"held\":{},\"since_ms\":{},\"last_said_ms\":{},\"obsolete\":{is_obsolete}}}",
+        state(report.listed.endpoint.state),
+        age(report.since),
+        report.removal_withheld_since.is_some(),
+        since_ms(&report.listed),
+        age(report.reported_at),
+    );
+}
+
+/// The start time as discovery's list gives it: in Unix milliseconds, 0 where it is not known.
+fn since_ms(listed: &ListedEndpoint) -> u128 {
+    listed
+        .endpoint
+        .started_at
+        .map_or(0, |started_at| started_at.as_millis())
+}
--- a/crates/endpoints/src/merge.rs
+++ b/crates/endpoints/src/merge.rs
@@ -7,16 +7,25 @@
 
 /// Merges reports given in the order of their sources; `None` if there are none.
 pub(crate) fn merge(entries: &[&SourceEntry]) -> Option<ListedEndpoint> {
-    let newest = entries
-        .iter()
-        .filter_map(|entry| entry.listed.endpoint.started_at)
-        .max();
+    let newest = newest_start(entries);
     let mut merged = preferred_entry(entries, newest)?.listed;
-    merged.endpoint.state = strictest_state(entries, newest);
+    merged.endpoint.state = strictest_state(entries);
     merged.endpoint.started_at = newest;
     Some(merged)
 }
 
+/// Whether the report refers to an earlier incarnation than another one.
+pub(crate) fn is_obsolete(entry: &SourceEntry, entries: &[&SourceEntry]) -> bool {
+    entry.incarnation < newest_start(entries)
+}
+
+fn newest_start(entries: &[&SourceEntry]) -> Option<Duration> {
+    entries
+        .iter()
+        .filter_map(|entry| entry.listed.endpoint.started_at)
+        .max()
+}
+
 /// The report that determines the address and attributes: the first that lists the newest incarnation.
 fn preferred_entry<'a>(
     entries: &[&'a SourceEntry],
@@ -35,12 +44,11 @@
         .copied()
 }
 
-fn strictest_state(entries: &[&SourceEntry], newest: Option<Duration>) -> ServerState {
+fn strictest_state(entries: &[&SourceEntry]) -> ServerState {
     let reported = |state: ServerState| {
-        entries.iter().any(|entry| {
-            let is_outdated = entry.incarnation < newest;
-            entry.listed.endpoint.state == state && !is_outdated
-        })
+        entries
+            .iter()
+            .any(|entry| entry.listed.endpoint.state == state && !is_obsolete(entry, entries))
     };
     if reported(ServerState::Removed) {
         ServerState::Removed
--- a/crates/endpoints/src/merged.rs
+++ b/crates/endpoints/src/merged.rs
@@ -1,7 +1,7 @@
 //! The merged endpoint list.
 
 use crate::endpoint::ListedEndpoint;
-use crate::merge::merge;
+use crate::merge::{is_obsolete, merge};
 use crate::source::{Source, SourceConfig, SourceEntry, SourceStatus};
 use sillward_balancer::{ServerId, ServerState};
 use std::collections::BTreeMap;
@@ -128,6 +128,12 @@
             .collect()
     }
 
+    /// Whether a report of [`Self::source_entries`] has no effect on the state, because it refers to an earlier
+    /// incarnation of the endpoint than another source's report.
+    pub fn is_obsolete(&self, entry: &SourceEntry) -> bool {
+        is_obsolete(entry, &self.entries(entry.listed.endpoint.id))
+    }
+
     fn record(&mut self, source: SourceId, now: Duration, listed: &ListedEndpoint) {
         let newest = self
             .sources
@@ -139,13 +145,17 @@
         self.sources[source.0].record(now, listed, incarnation);
     }
 
-    /// Merges the reports on an endpoint again and returns the merged endpoint if it changed.
-    fn remerge(&mut self, id: ServerId) -> Option<ListedEndpoint> {
-        let entries: Vec<&SourceEntry> = self
-            .sources
+    /// The reports on an endpoint.
+    fn entries(&self, id: ServerId) -> Vec<&SourceEntry> {
+        self.sources
             .iter()
             .filter_map(|source| source.entry(id))
-            .collect();
+            .collect()
+    }
+
+    /// Merges the reports on an endpoint again and returns the merged endpoint if it changed.
+    fn remerge(&mut self, id: ServerId) -> Option<ListedEndpoint> {
+        let entries = self.entries(id);
         let merged = merge(&entries)?;
         if entries.iter().all(|entry| entry.listed.is_removed()) {
             self.drop_reports(id);
--- a/crates/endpoints/src/source.rs
+++ b/crates/endpoints/src/source.rs
@@ -52,6 +52,8 @@
     pub since: Duration,
     /// Since when the removal of the endpoint is withheld, if it was missing from a complete list.
     pub removal_withheld_since: Option<Duration>,
+    /// When the source sent the report last.
+    pub reported_at: Duration,
     /// The start time of the incarnation that the report refers to.
     pub(crate) incarnation: Option<Duration>,
     /// The number of the last resync that contained the endpoint.
@@ -138,6 +140,7 @@
             listed: *listed,
             since: now,
             removal_withheld_since: None,
+            reported_at: now,
             incarnation,
             last_resync: self.resync_number,
         };
