A drain told without a start time counts whichever source is heard first

What callers saw: a backend that the roster drains, and that etcd lists too, got its full share of the requests from each node started after that.

Cause: a report without a start time was bound to the newest start known when it came, or to none, and in an order of `Option`s none is earlier than any. So it was void as soon as the other source named a start, as after a restart, where `known` is heard before etcd. A repeated report kept the incarnation of the first, so the roster's list after etcd's did not help.

Excluded: a lost list, and the decision module, which did as it was told.

Change: the merged state is never less strict than the last report of any source, unless that report is known to refer to an earlier incarnation. A type, `Incarnation`, takes the place of the `Option`s: the start that a report names, or what ran when it came. Three holes of the same invariant go with it: `terminated` as the first report of its source was ignored; a removal was forgotten when no source listed the backend, so a source that listed it later, or lost and found it, brought it back; start times of one incarnation that differ by seconds voided drains.

--- a/crates/endpoints/src/merge.rs
+++ b/crates/endpoints/src/merge.rs
@@ -1,44 +1,36 @@
 //! Merges the reports of all sources on one endpoint.
+//!
+//! The invariant: the merged state is never less strict than the last report of any source, unless that report is known
+//! to refer to an earlier incarnation of the endpoint than another source's last report.
 
 use crate::endpoint::ListedEndpoint;
 use crate::source::SourceEntry;
 use sillward_balancer::ServerState;
-use std::time::Duration;
 
 /// Merges reports given in the order of their sources; `None` if there are none.
 pub(crate) fn merge(entries: &[&SourceEntry]) -> Option<ListedEndpoint> {
-    let newest = newest_start(entries);
-    let mut merged = preferred_entry(entries, newest)?.listed;
+    let mut merged = preferred_entry(entries)?.listed;
     merged.endpoint.state = strictest_state(entries);
-    merged.endpoint.started_at = newest;
+    merged.endpoint.started_at = entries
+        .iter()
+        .filter_map(|entry| entry.listed.endpoint.started_at)
+        .max();
     Some(merged)
 }
 
-/// Whether the report refers to an earlier incarnation than another one.
+/// Whether another report refers to an incarnation that is known to be later.
 pub(crate) fn is_obsolete(entry: &SourceEntry, entries: &[&SourceEntry]) -> bool {
-    entry.incarnation < newest_start(entries)
-}
-
-fn newest_start(entries: &[&SourceEntry]) -> Option<Duration> {
     entries
         .iter()
-        .filter_map(|entry| entry.listed.endpoint.started_at)
-        .max()
+        .any(|other| entry.incarnation.is_known_to_precede(other.incarnation))
 }
 
-/// The report that determines the address and attributes: the first that lists the newest incarnation.
-fn preferred_entry<'a>(
-    entries: &[&'a SourceEntry],
-    newest: Option<Duration>,
-) -> Option<&'a SourceEntry> {
+/// The report that determines the address and attributes: the first that lists the endpoint and is not obsolete.
+fn preferred_entry<'a>(entries: &[&'a SourceEntry]) -> Option<&'a SourceEntry> {
     let is_listed = |entry: &SourceEntry| !entry.listed.is_removed();
-    let is_newest = |entry: &SourceEntry| {
-        let started_at = entry.listed.endpoint.started_at;
-        started_at.is_none() || started_at == newest
-    };
     entries
         .iter()
-        .find(|entry| is_listed(entry) && is_newest(entry))
+        .find(|entry| is_listed(entry) && !is_obsolete(entry, entries))
         .or_else(|| entries.iter().find(|entry| is_listed(entry)))
         .or_else(|| entries.first())
         .copied()
--- a/crates/endpoints/src/merged.rs
+++ b/crates/endpoints/src/merged.rs
@@ -3,6 +3,7 @@
 use crate::endpoint::ListedEndpoint;
 use crate::merge::{is_obsolete, merge};
 use crate::source::{Source, SourceConfig, SourceEntry, SourceStatus};
+use crate::unlisted::UnlistedEndpoints;
 use sillward_balancer::{ServerId, ServerState};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 pub struct MergedEndpoints {
     sources: Vec<Source>,
     merged: BTreeMap<ServerId, ListedEndpoint>,
+    unlisted: UnlistedEndpoints,
 }
 
 impl MergedEndpoints {
@@ -25,6 +27,7 @@
         MergedEndpoints {
             sources: sources.into_iter().map(Source::new).collect(),
             merged: BTreeMap::new(),
+            unlisted: UnlistedEndpoints::default(),
         }
     }
 
@@ -34,8 +37,9 @@
         self.sources[source.0].begin_resync(now);
     }
 
-    /// Applies endpoints that a source sent, as part of its complete list or as changes. Returns the merged endpoints
-    /// that changed.
+    /// Applies endpoints that a source sent, as part of its complete list or as changes. Each counts as reported at
+    /// `now`, also if the source reported the same before: a list says what holds when it is sent. Returns the merged
+    /// endpoints that changed.
     pub fn update(
         &mut self,
         source: SourceId,
@@ -45,8 +49,8 @@
         self.sources[source.0].mark_heard(now);
         let mut changed = Vec::new();
         for listed in endpoints {
-            self.record(source, now, listed);
-            changed.extend(self.remerge(listed.endpoint.id));
+            self.sources[source.0].record(now, listed);
+            changed.extend(self.remerge(listed.endpoint.id, now));
         }
         changed
     }
@@ -60,8 +64,8 @@
         };
         let mut listed = entry.listed;
         listed.endpoint.state = ServerState::Removed;
-        self.record(source, now, &listed);
-        self.remerge(id).into_iter().collect()
+        self.sources[source.0].record(now, &listed);
+        self.remerge(id, now).into_iter().collect()
     }
 
     /// Finishes a resync: endpoints that the source listed before and that are missing now are removed, unless the
@@ -128,23 +132,12 @@
             .collect()
     }
 
-    /// Whether a report of [`Self::source_entries`] has no effect on the state, because it refers to an earlier
-    /// incarnation of the endpoint than another source's report.
+    /// Whether a report of [`Self::source_entries`] has no effect on the state, because it is known to refer to an
+    /// earlier incarnation of the endpoint than another source's report.
     pub fn is_obsolete(&self, entry: &SourceEntry) -> bool {
         is_obsolete(entry, &self.entries(entry.listed.endpoint.id))
     }
 
-    fn record(&mut self, source: SourceId, now: Duration, listed: &ListedEndpoint) {
-        let newest = self
-            .sources
-            .iter()
-            .filter_map(|source| source.entry(listed.endpoint.id)?.listed.endpoint.started_at)
-            .max();
-        // A report without a start time refers to the newest incarnation that any source has reported.
-        let incarnation = listed.endpoint.started_at.or(newest);
-        self.sources[source.0].record(now, listed, incarnation);
-    }
-
     /// The reports on an endpoint.
     fn entries(&self, id: ServerId) -> Vec<&SourceEntry> {
         self.sources
@@ -154,23 +147,26 @@
     }
 
     /// Merges the reports on an endpoint again and returns the merged endpoint if it changed.
-    fn remerge(&mut self, id: ServerId) -> Option<ListedEndpoint> {
+    fn remerge(&mut self, id: ServerId, now: Duration) -> Option<ListedEndpoint> {
         let entries = self.entries(id);
         let merged = merge(&entries)?;
         if entries.iter().all(|entry| entry.listed.is_removed()) {
-            self.drop_reports(id);
+            if let Some(oldest) = self.unlisted.insert(id, now) {
+                self.drop_reports(oldest);
+            }
             return self
                 .merged
                 .remove(&id)
                 .filter(|old| !old.is_removed())
                 .map(|_| merged);
         }
+        self.unlisted.remove(id);
         let old = self.merged.insert(id, merged);
         let is_new_but_removed = old.is_none() && merged.is_removed();
         (old != Some(merged) && !is_new_but_removed).then_some(merged)
     }
 
-    /// Drops the reports on an endpoint that no source lists any more.
+    /// Drops all reports on an endpoint.
     fn drop_reports(&mut self, id: ServerId) {
         for source in &mut self.sources {
             source.remove_entry(id);
--- a/crates/endpoints/src/source.rs
+++ b/crates/endpoints/src/source.rs
@@ -2,6 +2,7 @@
 
 use crate::endpoint::ListedEndpoint;
 use crate::guard::RemovalGuard;
+use crate::incarnation::Incarnation;
 use sillward_balancer::ServerId;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -52,10 +53,10 @@
     pub since: Duration,
     /// Since when the removal of the endpoint is withheld, if it was missing from a complete list.
     pub removal_withheld_since: Option<Duration>,
+    /// The incarnation that the report refers to.
+    pub incarnation: Incarnation,
     /// When the source sent the report last.
     pub reported_at: Duration,
-    /// The start time of the incarnation that the report refers to.
-    pub(crate) incarnation: Option<Duration>,
     /// The number of the last resync that contained the endpoint.
     last_resync: u64,
 }
@@ -129,37 +130,25 @@
         }
     }
 
-    /// Records a report on the given incarnation. The removal of an endpoint that this source never listed is ignored.
-    pub(crate) fn record(
-        &mut self,
-        now: Duration,
-        listed: &ListedEndpoint,
-        incarnation: Option<Duration>,
-    ) {
-        let mut entry = SourceEntry {
+    /// Records a report that was received at `now`.
+    pub(crate) fn record(&mut self, now: Duration, listed: &ListedEndpoint) {
+        let id = listed.endpoint.id;
+        let old = self.entries.get(&id);
+        let is_repeated = |old: &&SourceEntry| {
+            let before = old.listed.endpoint;
+            before.state == listed.endpoint.state && before.started_at == listed.endpoint.started_at
+        };
+        let since = old.filter(is_repeated).map_or(now, |old| old.since);
+        let previous = old.map(|old| old.incarnation);
+        let entry = SourceEntry {
             listed: *listed,
-            since: now,
+            since,
             removal_withheld_since: None,
+            incarnation: Incarnation::of_report(listed.endpoint.started_at, now, previous),
             reported_at: now,
-            incarnation,
             last_resync: self.resync_number,
         };
-        match self.entries.get_mut(&listed.endpoint.id) {
-            Some(old) => {
-                let before = old.listed.endpoint;
-                let after = listed.endpoint;
-                // A repeated report keeps the time and the incarnation of the first one.
-                if before.state == after.state && before.started_at == after.started_at {
-                    entry.since = old.since;
-                    entry.incarnation = old.incarnation;
-                }
-                *old = entry;
-            }
-            None if listed.is_removed() => {}
-            None => {
-                self.entries.insert(listed.endpoint.id, entry);
-            }
-        }
+        self.entries.insert(id, entry);
     }
 
     /// The listed endpoints that were missing from the resync that has just finished.
