A list of discovery without a version is not taken for an older one

What callers saw: where discovery tells a change without `index`, its drains did not take effect, and the watch was broken and opened again, until the third such list counted as a discovery that had gone back.

Change: the version is an `Option`. A list without one is applied and leaves the known version, and where the next watch goes on, as they are. One with a version is checked as before.

--- a/crates/discovery/src/feed.rs
+++ b/crates/discovery/src/feed.rs
@@ -121,16 +121,14 @@
             ListOrigin::Watch if list.snapshot => EndpointUpdate::Full,
             ListOrigin::Watch => EndpointUpdate::Incremental,
         };
-        if origin != ListOrigin::Cache {
-            self.check_version(list.index)?;
+        if let Some(version) = list.version.filter(|_| origin != ListOrigin::Cache) {
+            self.check_version(version)?;
         }
         let backends = self.read_entries(list.endpoints);
         let count = backends.len();
         self.send(kind, backends).await;
-        self.resume_version = list.index;
-        if origin != ListOrigin::Cache {
-            self.applied_version = list.index;
-            self.older_lists = 0;
+        if let Some(version) = list.version {
+            self.on_applied(version, origin);
         }
         if origin != ListOrigin::Cache || self.is_polled() {
             self.ready.set(true);
@@ -138,6 +136,14 @@
         Ok(count)
     }
 
+    fn on_applied(&mut self, version: u64, origin: ListOrigin) {
+        self.resume_version = version;
+        if origin != ListOrigin::Cache {
+            self.applied_version = version;
+            self.older_lists = 0;
+        }
+    }
+
     /// Notifies the node that a poll failed or the watch broke.
     pub(crate) async fn report_failure(&self) {
         self.send(EndpointUpdate::Failed, Vec::new()).await;
--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -7,9 +7,9 @@
 /// the others.
 #[derive(Deserialize)]
 pub(crate) struct List {
-    /// The version of the list.
-    #[serde(default)]
-    pub(crate) index: u64,
+    /// The version of the list. One without a version is neither older nor newer than another.
+    #[serde(rename = "index")]
+    pub(crate) version: Option<u64>,
     /// Whether this is the complete list rather than a change.
     #[serde(default)]
     pub(crate) snapshot: bool,
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -173,6 +173,33 @@
     );
 }
 
+/// Guards against a drain being turned down with a list that has no version: such a list was taken for an older one.
+#[test]
+fn a_list_without_a_version_is_not_taken_for_an_older_one() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (node, mut watch, discovery) = serving(&settings(LONG, ""), &[&old]);
+    let change = list(
+        0,
+        false,
+        &[
+            entry("s-0", old.address, "terminated"),
+            entry("s-1", new.address, "in_service"),
+        ],
+    );
+    watch.line(&change.replace("\"index\":0,", ""));
+    until(|| node.client().read().body == b"new", "the change");
+    (0..10).for_each(|_| assert_eq!(node.client().read().body, b"new"));
+    assert_eq!(node.count_logged("older than"), 0);
+    // The versions that are known hold as before.
+    drop(watch);
+    let mut watch = discovery.call();
+    assert!(watch.start.contains("index=8 "), "{}", watch.start);
+    watch.open();
+    watch.line(&list(3, true, &[entry("s-0", old.address, "in_service")]));
+    node.logged("older than 8");
+    assert_eq!(node.client().read().body, b"new");
+}
+
 #[test]
 fn a_list_may_come_indented_and_what_is_malformed_is_asked_for_anew() {
     let (one, two) = (Backend::start(|_| ok("one")), Backend::start(|_| ok("two")));
