A server whose start time becomes known is not taken for a restarted one

What callers saw: a backend that is ejected after failures got requests again as soon as another source, or a later list, first named its start, or no longer named it.

A server that is not listed was told from a listed one by id 0.

Change: a start that becomes known is of a later process only if it lies after the server was listed; a start that is no longer told says nothing. Two different starts are two processes, as before. An absent server is an `Option`.

Result: the new test failed on the code before (the server was not ejected any more) and passes.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -253,7 +253,8 @@
         self.slow_start
             .before_endpoint_update(&context, &self.endpoints, subset_size);
         let initial_estimate = self.mean_estimate(subset_size);
-        self.endpoints.apply(update, endpoints, initial_estimate);
+        self.endpoints
+            .apply(self.now, update, endpoints, initial_estimate);
     }
 
     /// The mean Join-Up-To(m) estimate of the servers in this node's subset.
--- a/crates/balancer/src/policy/endpoint_table.rs
+++ b/crates/balancer/src/policy/endpoint_table.rs
@@ -5,6 +5,7 @@
 use crate::ids::ServerId;
 use crate::settings::Settings;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// 2^64 divided by the golden ratio (Fibonacci hashing): spreads consecutive ids over the ring.
 const GOLDEN_RATIO_HASH: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -26,6 +27,16 @@
     ring: Vec<ServerId>,
 }
 
+/// Whether the entry is of a later process than the server that is known. An entry without a start time does not tell when its
+/// process started: a start time that becomes known is of a later process only if it lies after the server was listed.
+fn is_restarted(known: &Server, entry: &Endpoint) -> bool {
+    match (known.endpoint.started_at, entry.started_at) {
+        (Some(known_start), Some(start)) => known_start != start,
+        (None, Some(start)) => start > known.listed_at,
+        (_, None) => false,
+    }
+}
+
 fn ring_position(id: ServerId) -> u64 {
     id.0.wrapping_mul(GOLDEN_RATIO_HASH)
 }
@@ -82,6 +93,7 @@
     /// would select it at the same time.
     pub(super) fn apply(
         &mut self,
+        now: Duration,
         update: EndpointUpdate,
         endpoints: Vec<Endpoint>,
         initial_estimate: u32,
@@ -94,7 +106,7 @@
             }
         }
         for endpoint in endpoints {
-            self.apply_one(endpoint, initial_estimate);
+            self.apply_one(now, endpoint, initial_estimate);
         }
         if full_list {
             self.servers
@@ -102,21 +114,20 @@
         }
     }
 
-    fn apply_one(&mut self, endpoint: Endpoint, initial_estimate: u32) {
+    fn apply_one(&mut self, now: Duration, endpoint: Endpoint, initial_estimate: u32) {
         let id = endpoint.id;
-        let known = self.servers.remove(&id).unwrap_or_default();
-        let same_process =
-            known.endpoint.id == id && known.endpoint.started_at == endpoint.started_at;
+        let known = self.servers.remove(&id);
         if endpoint.state != ServerState::Removed {
-            let server = if same_process {
-                Server { endpoint, ..known }
-            } else {
-                Server {
+            let in_flight = known.as_ref().map_or(0, |known| known.in_flight);
+            let server = match known.filter(|known| !is_restarted(known, &endpoint)) {
+                Some(known) => Server { endpoint, ..known },
+                None => Server {
                     endpoint,
-                    in_flight: known.in_flight,
+                    listed_at: now,
+                    in_flight,
                     sends_since_idle: initial_estimate,
                     ..Server::default()
-                }
+                },
             };
             self.servers.insert(id, server);
         }
--- a/crates/balancer/src/policy/server.rs
+++ b/crates/balancer/src/policy/server.rs
@@ -19,6 +19,8 @@
 #[derive(Default)]
 pub(super) struct Server {
     pub(super) endpoint: Endpoint,
+    /// When this node first listed this process of the server.
+    pub(super) listed_at: Duration,
     /// The Join-Up-To(m) estimate: attempts that this node sent since the server's last idle signal.
     pub(super) sends_since_idle: u32,
     /// The time of its last idle signal.
--- a/crates/balancer/tests/decisions/endpoint_list.rs
+++ b/crates/balancer/tests/decisions/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! The endpoint list: updates, new servers, polling.
 
-use crate::actions::{sent_to, serve};
+use crate::actions::{run_requests, sent_to, serve};
 use crate::common::*;
 use sillward_balancer::*;
 
@@ -74,3 +74,30 @@
         "{sent_at_once} of 40 new servers got the next request"
     );
 }
+
+/// Guards against an ejected server being taken for a restarted one, and getting requests again, when a list first names the
+/// start time of its process.
+#[test]
+fn keeps_what_is_known_of_a_server_whose_start_time_becomes_known() {
+    let mut harness = Harness::with_servers(with_load_reports(), 4);
+    harness.advance(ms(5000));
+    let outcome_of = |server: u64| match server {
+        0 => Outcome::ConnectFailed,
+        _ => Outcome::Served,
+    };
+    run_requests(&mut harness, 100, outcome_of);
+    assert_eq!(harness.balancer.endpoint_counts().ejected, 1);
+    let list_with_start = |harness: &mut Harness, started_at| {
+        let entry = Endpoint {
+            started_at,
+            ..endpoint(0)
+        };
+        harness.update_endpoints(EndpointUpdate::Incremental, vec![entry]);
+        harness.balancer.endpoint_counts().ejected
+    };
+    let before_the_first_list = Some(ms(1));
+    assert_eq!(list_with_start(&mut harness, before_the_first_list), 1);
+    assert_eq!(list_with_start(&mut harness, None), 1, "no longer told");
+    let now = Some(harness.now);
+    assert_eq!(list_with_start(&mut harness, now), 0, "started anew");
+}
