The id of an unsafe request whose client has left is not free while it may be running

What callers saw: a correction whose client had closed its connection ran a second time when the same id came again while a backend was still running the first.

Cause: the id of an open call is in use until the call is dropped, and a client that leaves drops it at once.

Evidence: in the new test `node.in_progress` is 0 and the backend runs the first; the second request with its id was sent to the backend and answered 502 in place of 409. Excluded: that what a client had sent is sent on after it left (tests/races.rs holds, with up to 110,000 bytes unread).

The progress of a call is shared with who waits for it, which tells whether an attempt was begun.

--- a/crates/forwarding/src/call.rs
+++ b/crates/forwarding/src/call.rs
@@ -43,7 +43,7 @@
     /// How long backends remember an idempotency key, from the first byte of the first attempt.
     pub idempotency_window: Option<Duration>,
     /// The state of the call that its attempts share.
-    pub progress: CallProgress,
+    pub progress: Rc<CallProgress>,
 }
 
 /// The state of a call that its attempts share.
--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -25,7 +25,7 @@
 use sillward_balancer::settings::PlatformSettings;
 use sillward_balancer::{Idempotency, NewRequest};
 use sillward_forwarding::{
-    BodySender, Call, CallProgress, FinalResponse, LiveSettings, MemoryBudget, NodeHandle, Payload,
+    BodySender, Call, FinalResponse, LiveSettings, MemoryBudget, NodeHandle, Payload,
     READ_BUFFER_BYTES, RequestLimit, RequestPermit, SettingsSnapshot, StreamingBody,
 };
 use sillward_listener::{
@@ -234,23 +234,32 @@
         };
         let received_at = self.node.clock().now();
         // Backends would treat two open requests with the same call ID as one.
-        let Some(_open_call) = OpenCall::register(&self.open_calls, &head.call_id) else {
+        let Some(mut open_call) =
+            OpenCall::register(&self.open_calls, &head.call_id, self.node.clock())
+        else {
             return Err(RequestError::CallIdInUse);
         };
         let mut call = new_call(&head, first, connection, received_at, &settings.platform);
-        let response = match streaming {
-            None => self.node.submit(permit, request, call, received_at).await,
+        if !call.safe && call.idempotency_key.is_none() {
+            open_call.must_run_once(call.progress.clone());
+        }
+        let submitted = match streaming {
+            None => {
+                let response = self.node.submit(permit, request, call, received_at).await;
+                Ok(StreamedRequest::Ended(response))
+            }
             Some((streaming_body, sender)) => {
                 call.streaming_body = Some(streaming_body);
                 call.deadline.set(received_at + MAX_UPLOAD_TIME);
-                let submitted =
-                    self.submit_streaming(permit, request, call, received_at, &mut body, sender);
-                match submitted.await? {
-                    StreamedRequest::Ended(response) => response,
-                    StreamedRequest::BodyTooLate => {
-                        return Ok(self.reject_shutting_down(head.class, body, settings));
-                    }
-                }
+                self.submit_streaming(permit, request, call, received_at, &mut body, sender)
+                    .await
+            }
+        };
+        open_call.finish();
+        let response = match submitted? {
+            StreamedRequest::Ended(response) => response,
+            StreamedRequest::BodyTooLate => {
+                return Ok(self.reject_shutting_down(head.class, body, settings));
             }
         };
         let response = response.unwrap_or(FinalResponse::Failed);
@@ -401,7 +410,7 @@
         client_connected_check: Some(connection.connected_check()),
         deadline: Cell::new(received_at + head.time_budget),
         idempotency_window: head.idempotency_window,
-        progress: CallProgress::default(),
+        progress: Rc::default(),
     }
 }
 
--- a/crates/http1/tests/backend_client.rs
+++ b/crates/http1/tests/backend_client.rs
@@ -5,8 +5,8 @@
     Endpoint, EndpointUpdate, Outcome, RequestId, ServerId, ServerState, settings,
 };
 use sillward_forwarding::{
-    Attempt, Backend, BackendProtocol, BackendUpdate, Call, CallProgress, LiveSettings,
-    LoadReportParser, MemoryBudget, Payload,
+    Attempt, Backend, BackendProtocol, BackendUpdate, Call, LiveSettings, LoadReportParser,
+    MemoryBudget, Payload,
 };
 use sillward_http1::{BackendClient, Http1};
 use sillward_metrics::Counters;
@@ -110,7 +110,7 @@
         client_connected_check: None,
         deadline: Cell::new(now + MINUTE),
         idempotency_window: Some(MINUTE),
-        progress: CallProgress::default(),
+        progress: Rc::default(),
     }
 }
 
--- a/crates/thrift/src/calls.rs
+++ b/crates/thrift/src/calls.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use sillward_balancer::{Idempotency, NewRequest};
 use sillward_forwarding::{
-    Call, CallProgress, FinalResponse, Payload, ResponseValidator, SettingsSnapshot, key_hash,
+    Call, FinalResponse, Payload, ResponseValidator, SettingsSnapshot, key_hash,
 };
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -226,7 +226,7 @@
         client_connected_check: None, // set by the frontend; a oneway call has no waiting client
         deadline: Cell::new(now + budget),
         idempotency_window: window,
-        progress: CallProgress::default(),
+        progress: Rc::default(),
     };
     Ok(ValidatedCall {
         request,
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -205,6 +205,54 @@
     assert_eq!(backend.count(), 2);
 }
 
+/// Guards against an unsafe request that runs twice because its id comes again after its client has left: the backend may still
+/// be running the first.
+#[test]
+fn the_id_of_a_request_that_may_be_running_is_turned_down_after_its_client_has_left() {
+    let (go, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
+    let backend = Backend::start(move |message| {
+        if message.start.contains("/correct/") {
+            let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+        }
+        ok(&message.start)
+    });
+    let (node, watch, _discovery) = serving_operators(&settings(LONG, ""), &[&backend]);
+    let is_idle = || node.figure("node.in_progress") == 0;
+    let headers = common(LONG);
+    let mut leaves = node.client();
+    leaves.send("POST /correct/1f", &headers, b"sheet");
+    backend.request();
+    drop(leaves);
+    until(is_idle, "the end of the request whose client has left");
+    for _ in 0..2 {
+        let again = node.client().ask("POST /correct/1f", &headers, b"sheet");
+        assert_eq!(again.status(), 409);
+    }
+    assert_eq!(backend.count(), 1, "runs of the id");
+    // A request that never began is nobody's once its client has left.
+    drop(watch);
+    go.send(()).expect("the backend waits");
+    let (silent, mut empty, _discovery) = serving_operators(&settings(LONG, ""), &[]);
+    let headers = common(LONG);
+    let mut leaves = silent.client();
+    leaves.send("POST /correct/1f", &headers, b"sheet");
+    until(
+        || silent.figure("node.in_progress") == 1,
+        "a request that is held",
+    );
+    drop(leaves);
+    until(|| silent.figure("node.in_progress") == 0, "its end");
+    empty.line(&list(
+        9,
+        false,
+        &[entry("s-0", backend.address, "in_service")],
+    ));
+    go.send(()).expect("the backend waits");
+    let again = silent.client().ask("POST /correct/1f", &headers, b"sheet");
+    assert_eq!(again.status(), 200);
+}
+
 #[test]
 fn bodies_take_no_more_memory_than_there_is_for_them() {
     let backend = Backend::start(|_| ok(""));
