Test of requests whose backend is replaced by a new process at its own address

Change: a test on real processes. A backend that runs an unsafe or a keyed request is replaced in the list at its own address, by one in another zone or by one of its own name that started anew, and its connection breaks: nothing more of the request may be sent.

No code has changed.

--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -1,11 +1,14 @@
 //! Bad clients beside good ones, over loopback sockets.
 
 use sillward_scenarios::peers::*;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 const LONG: u64 = 20_000;
+/// The deadline of requests that no backend serves.
+const SHORT: u64 = 1_500;
 const KEY: &str = "Idempotency-Key: 5c0f\r\n";
 
 /// A head of 500 bytes or so, and no end of it.
@@ -366,3 +369,49 @@
         assert_eq!(backend.closed(), number);
     }
 }
+
+/// Guards against work that goes to the wrong place because a new process has come up at the address of one that is gone: the
+/// backend that has a request is replaced at its own address, in another zone or anew, and its connection breaks.
+#[test]
+fn what_a_gone_backend_may_have_run_does_not_go_to_the_new_one_at_its_address() {
+    let new_in_other_zone = |address| {
+        vec![
+            entry("s-0", address, "terminated"),
+            entry_in("b", "m", "s-1", address, "in_service"),
+        ]
+    };
+    let new_of_the_same_name = |address| {
+        let anew = entry("s-0", address, "in_service");
+        vec![anew.replace("\"since_ms\":0", "\"since_ms\":1900000000000")]
+    };
+    let other_zone: &dyn Fn(SocketAddr) -> Vec<String> = &new_in_other_zone;
+    for (class, more, changes) in [
+        ("correct", "", other_zone),
+        ("correct", "", &new_of_the_same_name),
+        ("submit", KEY, other_zone),
+    ] {
+        let (go, gate) = channel::<()>();
+        let gate = Mutex::new(gate);
+        let backend = Backend::start(move |message| {
+            if message.start.starts_with("GET") {
+                return ok("new");
+            }
+            let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+            Reply::Break(Vec::new())
+        });
+        let (node, mut watch, _discovery) = serving(&settings(SHORT, ""), &[&backend]);
+        let mut client = node.client();
+        let headers = common(SHORT) + more;
+        client.send(&format!("POST /{class}/1f"), &headers, b"sheet");
+        backend.request();
+        assert_eq!(node.client().read().body, b"new");
+        watch.line(&list(9, false, &changes(backend.address)));
+        // The resting connection of the gone backend is closed: the node has applied the list.
+        backend.closed();
+        assert_eq!(node.client().read().body, b"new");
+        let before = backend.count();
+        go.send(()).expect("the backend waits");
+        assert_ne!(client.answer().expect("an answer").status(), 200, "{class}");
+        assert_eq!(backend.count(), before, "{class}: runs after the first");
+    }
+}
