A later configuration may leave out the keys that may be absent

What callers saw: after a good new configuration with another address of discovery the node asked at the old one, and heard of no drain.

Cause: a later file must have each key that the one in use has.

Change: one table of optional keys, with any position in a list: `known`, `Specifics.WarmKeys`, `Specifics.PassesDeadline`, `Prices.Fleet`, `Classes[].AimStretch`. All others are required as before, and named where they are missing.

--- a/crates/node-config/src/config.rs
+++ b/crates/node-config/src/config.rs
@@ -42,7 +42,7 @@
     pub listen_fd: Option<i32>,
     /// Where processes of this node find each other, where the platform replaces them.
     pub temp_dir: Option<PathBuf>,
-    /// The file's content, without what a later file may leave out.
+    /// The file's content.
     content: Value,
 }
 
@@ -84,7 +84,7 @@
     /// [`FileError`] with the key.
     pub fn parse(text: &str) -> Result<Self, FileError> {
         let file: ConfigFile = serde_json::from_str(text)?;
-        let content = required_keys::without_optional(serde_json::from_str(text)?);
+        let content = serde_json::from_str(text)?;
         let seed = match file.seed.as_str() {
             "" => 0,
             seed => u64::from_str_radix(seed, 16).map_err(FileError::Seed)?,
--- a/crates/node-config/src/required_keys.rs
+++ b/crates/node-config/src/required_keys.rs
@@ -2,31 +2,52 @@
 
 use serde_json::{Map, Value};
 
-/// Keys of the file that a later one may leave out.
-const OPTIONAL_LATER: [&str; 1] = ["known"];
+/// Keys of the file that a later one may leave out, with `[]` for any position in a list: the platform says that they may be
+/// absent, or gives them at a start only.
+const OPTIONAL: [&str; 5] = [
+    "known",
+    "settings.Classes[].AimStretch",
+    "settings.Prices.Fleet",
+    "settings.Specifics.PassesDeadline",
+    "settings.Specifics.WarmKeys",
+];
 /// Keys of a class that only keyed classes need.
 const KEYED_ONLY: [&str; 2] = ["Window", "Group"];
 /// The key of a class that says whether it is keyed, and the value for that.
 const IDEMPOTENCY: &str = "Idempotency";
 const KEYED: &str = "guarded";
 
-/// Removes the keys that a later file may leave out.
-pub(crate) fn without_optional(mut file: Value) -> Value {
-    if let Some(keys) = file.as_object_mut() {
-        for key in OPTIONAL_LATER {
-            keys.remove(key);
-        }
-    }
-    file
-}
-
-/// The paths of the keys that `old` has and `new` lacks.
+/// The paths of the required keys that `old` has and `new` lacks.
 pub(crate) fn missing(old: &Value, new: &Value) -> Vec<String> {
     let mut paths = Vec::new();
     collect(String::new(), old, new, &mut paths);
+    paths.retain(|path| !is_optional(path));
     paths
 }
 
+/// Whether the path is that of an optional key, or of a key within one.
+fn is_optional(path: &str) -> bool {
+    let path = any_position(path);
+    OPTIONAL.iter().any(|optional| {
+        path.strip_prefix(optional)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    })
+}
+
+/// A path with `[]` in the place of each position in a list.
+fn any_position(path: &str) -> String {
+    let mut pattern = String::new();
+    let mut is_position = false;
+    for character in path.chars() {
+        is_position &= character != ']';
+        if !is_position {
+            pattern.push(character);
+        }
+        is_position |= character == '[';
+    }
+    pattern
+}
+
 fn collect(path: String, old: &Value, new: &Value, missing: &mut Vec<String>) {
     match (old, new) {
         (Value::Object(old), Value::Object(new)) => collect_object(&path, old, new, missing),
--- a/crates/node-config/tests/config.rs
+++ b/crates/node-config/tests/config.rs
@@ -100,6 +100,57 @@
     );
 }
 
+/// Guards against a good file being refused, and with it the new address of discovery, because it leaves out a key that may be
+/// absent.
+#[test]
+fn accepts_a_later_file_without_the_keys_that_may_be_absent() {
+    let optional = [
+        "/settings/Specifics/WarmKeys",
+        "/settings/Specifics/PassesDeadline",
+        "/settings/Prices/Fleet",
+        "/settings/Classes/0/AimStretch",
+        "/settings/Classes/1/AimStretch",
+    ];
+    let mut full: Value = serde_json::from_str(FILE).expect("JSON");
+    let settings = &mut full["settings"];
+    settings["Specifics"] =
+        serde_json::json!({"WarmKeys": false, "PassesDeadline": true, "Other": 1});
+    settings["Prices"] = serde_json::json!({"Probe": 0.1, "Fleet": 0.2});
+    for position in 0..2 {
+        settings["Classes"][position]["AimStretch"] = serde_json::json!(0.5);
+    }
+    let running = parsed(&full.to_string());
+    let reloaded = |from: &Config, file: &Value| {
+        let later = parsed(&file.to_string());
+        let settings = from.reloaded_settings(&later, &from.platform);
+        settings.map(drop).map_err(|error| error.to_string())
+    };
+    let without = |paths: &[&str]| {
+        let mut file = full.clone();
+        for path in paths {
+            let (parent, key) = path.rsplit_once('/').expect("a path");
+            let parent = file.pointer_mut(parent).expect("its parent");
+            let keys = parent.as_object_mut().expect("an object");
+            keys.remove(key).expect("the key");
+        }
+        file
+    };
+    for path in optional {
+        let short = without(&[path]);
+        assert_eq!(reloaded(&running, &short), Ok(()), "{path} leaves");
+        let back = reloaded(&parsed(&short.to_string()), &full);
+        assert_eq!(back, Ok(()), "{path} returns");
+    }
+    assert_eq!(reloaded(&running, &without(&optional)), Ok(()));
+    for path in [
+        "/settings/Specifics/Other",
+        "/settings/Prices/Probe",
+        "/settings/Specifics",
+    ] {
+        assert!(reloaded(&running, &without(&[path])).is_err(), "{path}");
+    }
+}
+
 #[test]
 fn reports_all_invalid_values_with_their_keys() {
     for (key, value) in [
