Tests of a drain at a node without a known list, and with clocks seconds apart

Need: the real-process tests of the drain that one source tells had a node with the roster's known list, and equal clocks.

Change: the first test plays each case also without a known list. A new one has the sources' start times 3 and 8 s apart, the drain told by either.

--- a/tests/etcd_restart.rs
+++ b/tests/etcd_restart.rs
@@ -23,6 +23,14 @@
     Etcd,
 }
 
+/// The list that a node has from before its start.
+#[derive(Clone, Copy, Debug)]
+enum Known {
+    /// What the roster says.
+    Roster,
+    Nothing,
+}
+
 /// What a source says of the backend `a`; `b` is in service in both sources.
 #[derive(Clone, Copy, Debug)]
 struct Said {
@@ -75,6 +83,11 @@
     /// A node that has just started with the roster's list as it was known, and has heard both sources, `first` before the
     /// other.
     fn start(first: First, roster: Said, etcd_says: Said) -> Self {
+        Site::start_with(Known::Roster, first, roster, etcd_says)
+    }
+
+    /// As [`Site::start`], with that list from before the start.
+    fn start_with(known: Known, first: First, roster: Said, etcd_says: Said) -> Self {
         let (a, b) = (backend("a"), backend("b"));
         let (etcd, discovery) = (Etcd::start(), Discovery::start());
         etcd.put("/tally/a", &line("a", &a, etcd_says), 0);
@@ -87,7 +100,11 @@
             line("a", &a, roster),
             line("b", &b, said("in_service", roster.since_ms)),
         ];
-        let node = start_node(&etcd, &discovery, &lines);
+        let known_lines = match known {
+            Known::Roster => &lines[..],
+            Known::Nothing => &[],
+        };
+        let node = start_node(&etcd, &discovery, known_lines);
         let mut site = Site {
             a,
             b,
@@ -169,11 +186,27 @@
 fn a_drain_without_a_start_time_counts_at_a_node_that_has_just_started() {
     let started = now_ms() - 3 * HOUR_MS;
     let (in_service, drains) = (said("in_service", started), said("terminating", NO_START));
-    for first in [First::Roster, First::Etcd] {
+    for known in [Known::Roster, Known::Nothing] {
+        for first in [First::Roster, First::Etcd] {
+            for (roster, etcd) in [(drains, in_service), (in_service, drains)] {
+                let site = Site::start_with(known, first, roster, etcd);
+                let case = format!("{known:?} known, {first:?} first, {roster:?}, {etcd:?}");
+                site.a_gets_nothing_past_the_grace(&case);
+            }
+        }
+    }
+}
+
+/// Guards against work for a draining backend whose start the other source names some seconds later, by its own clock.
+#[test]
+fn a_drain_counts_where_the_sources_clocks_are_some_seconds_apart() {
+    let started = now_ms() - HOUR_MS;
+    let drains = said("terminating", started);
+    for ahead_ms in [3_000, 8_000] {
+        let in_service = said("in_service", started + ahead_ms);
         for (roster, etcd) in [(drains, in_service), (in_service, drains)] {
-            let site = Site::start(first, roster, etcd);
-            let case = format!("{first:?} first, roster {roster:?}, etcd {etcd:?}");
-            site.a_gets_nothing_past_the_grace(&case);
+            let site = Site::start(First::Roster, roster, etcd);
+            site.a_gets_nothing_past_the_grace(&format!("{roster:?}, {etcd:?}"));
         }
     }
 }
