Tests hold the ports that they need to be refused or free

Cause: the test bound a port, released it, and named it as the backend that refuses connections. A released port is free: a listener of another test may be assigned it. Then the unsafe request is answered there, rightly not sent again, and the test fails.

Change: ReservedPort binds a port and doesn't listen. Connections are refused, the system assigns it to no other socket, and a process that names it may listen there. It takes the place of all released TCP ports of the tests in the root package, also of those that a process is to bind; the assertion shows the whole answer. No check and no bound is changed.

--- a/testing/servers/src/lib.rs
+++ b/testing/servers/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod random;
 pub mod raw_backend;
 pub mod relay;
+pub mod reserved_port;
 pub mod tally;
--- a/testing/servers/src/peers.rs
+++ b/testing/servers/src/peers.rs
@@ -1,6 +1,7 @@
 //! A node under test, run as its users run it, and scripted peers round it: backends, discovery, clients.
 //! Everything waits for events; PATIENCE only ends a test that has gone wrong.
 
+use crate::reserved_port::ReservedPort;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -530,9 +531,8 @@
         while full.write(&[b'.'; 4096]).is_ok() {}
         full.set_nonblocking(false).expect("its mode");
         // Nothing says where it listens, so that is chosen here.
-        let free = TcpListener::bind("127.0.0.1:0")
-            .and_then(|free| free.local_addr())
-            .expect("a port");
+        let reserved = ReservedPort::new();
+        let free = reserved.address();
         let (mut command, path) = command(&config.replace("127.0.0.1:0", &free.to_string()), "");
         let child = command
             .stderr(OwnedFd::from(full))
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,6 +1,7 @@
 //! What discovery has is told in time, whatever calls to it failed: over loopback sockets, each failure forced.
 
 use sillward_scenarios::peers::*;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::thread::scope;
@@ -240,12 +241,9 @@
 fn a_process_that_knows_backends_is_ready_while_discovery_refuses_or_is_silent() {
     let backend = Backend::start(|_| ok("known"));
     let known = entry("s-0", backend.address, "in_service");
-    let refuses = TcpListener::bind("127.0.0.1:0")
-        .expect("a port")
-        .local_addr()
-        .expect("its address");
+    let refuses = ReservedPort::new();
     let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
-    for discovery in [refuses, silent.local_addr().expect("its address")] {
+    for discovery in [refuses.address(), silent.local_addr().expect("its address")] {
         for index in ["\"index\":7,", "\"index\":0,", ""] {
             let config =
                 config(discovery, &settings(LONG, ""), 1024).replace("\"index\":7,", index);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,7 @@
 //! five processes, and its checks read what was done and what relays and callers saw.
 
 use sillward_scenarios::peers::{Node, config, settings};
+use sillward_scenarios::reserved_port::ReservedPort;
 use sillward_test_cluster::fleet::{Options, beside};
 use sillward_test_cluster::members::{self, Play, Verdict};
 use sillward_test_cluster::outcomes;
@@ -292,11 +293,8 @@
     std::fs::write(&key, "k".repeat(40)).expect("a file");
     let mode = std::os::unix::fs::PermissionsExt::from_mode(0o600);
     std::fs::set_permissions(&key, mode).expect("its mode");
-    let free = || {
-        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        free.local_addr().expect("its address")
-    };
-    let at = [free(), free()];
+    let reserved = [ReservedPort::new(), ReservedPort::new()];
+    let at = reserved.each_ref().map(ReservedPort::address);
     let discovery = sillward_scenarios::peers::Discovery::start();
     let start = |i: usize, fleet: &str| {
         let config = config(discovery.address, &settings(1_000, ""), 256);
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -7,7 +7,7 @@
 use sillward_scenarios::peers::{
     Discovery, Node, PATIENCE, Watch, config, entry, program, settings,
 };
-use std::net::TcpListener;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -24,12 +24,9 @@
         let scratch = Scratch::new();
         let backend = RawBackend::start(served);
         let key = scratch.file("key", &"k".repeat(40), 0o600);
-        let free = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
-        let addresses = free
-            .iter()
-            .map(|free| free.local_addr().expect("its address").to_string());
+        let reserved = [(); 3].map(|()| ReservedPort::new());
+        let addresses = reserved.iter().map(|port| port.address().to_string());
         let addresses: Vec<String> = addresses.collect();
-        drop(free);
         let mut nodes = Vec::new();
         let mut watches = Vec::new();
         for (i, address) in addresses.iter().enumerate() {
--- a/tests/golden/operators.rs
+++ b/tests/golden/operators.rs
@@ -8,7 +8,7 @@
 use sillward_scenarios::peers::{
     Discovery, Node, config_operated, entry, program, settings, until,
 };
-use std::net::TcpListener;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::process::Command;
 
 /// Nothing but discovery tells this node of backends, and discovery says nothing.
@@ -90,9 +90,8 @@
     let node = Node::start(&config_operated(discovery.address, &settings(LONG, "")), "");
     let (node, _watch, _discovery) = listed(node, discovery, &[]);
     let admin = node.admin.expect("a listener").to_string();
-    let free = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let nobody = free.local_addr().expect("its address").to_string();
-    drop(free);
+    let reserved = ReservedPort::new();
+    let nobody = reserved.address().to_string();
     let scratch = Scratch::new();
     let good = scratch.file("good.toml", "[limits]\nattempts = 2\n", 0o600);
     let mut transcript = Transcript::default();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,7 +1,7 @@
 //! The real node over loopback sockets: each test is one failure, seen by a peer.
 
 use sillward_scenarios::peers::*;
-use std::net::TcpListener;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -91,22 +91,20 @@
         assert_eq!(node.client().correct().body, b"second", "{status}");
     }
     // A backend that refuses connections.
-    let gone = TcpListener::bind("127.0.0.1:0")
-        .expect("a port")
-        .local_addr()
-        .expect("its address");
+    let gone = ReservedPort::new();
     let backend = Backend::start(|_| ok("here"));
     let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[]);
     watch.line(&list(
         9,
         true,
         &[
-            entry("s-0", gone, "in_service"),
+            entry("s-0", gone.address(), "in_service"),
             entry("s-1", backend.address, "in_service"),
         ],
     ));
-    for _ in 0..8 {
-        assert_eq!(node.client().correct().body, b"here");
+    for request in 0..8 {
+        let answer = node.client().correct();
+        assert_eq!(answer.body, b"here", "request {request}: {answer:?}");
     }
 }
 
@@ -405,11 +403,8 @@
 #[test]
 fn a_node_that_starts_while_discovery_is_down_serves_from_the_list_it_last_had() {
     let backend = Backend::start(|_| ok("known"));
-    let down = TcpListener::bind("127.0.0.1:0")
-        .expect("a port")
-        .local_addr()
-        .expect("its address");
-    let config = config(down, &settings(LONG, ""), 1024);
+    let down = ReservedPort::new();
+    let config = config(down.address(), &settings(LONG, ""), 1024);
     let known = entry("s-0", backend.address, "in_service");
     let node = Node::start(
         &config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]")),
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -1,6 +1,7 @@
 //! Daily operation over loopback sockets: what operators call, read and change while the node serves.
 
 use sillward_scenarios::peers::*;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -198,12 +199,8 @@
 
 #[test]
 fn a_request_is_in_progress_until_its_answer_or_its_clients_end() {
-    let (silent, gone) = (
-        Backend::start(|_| Reply::Silence),
-        std::net::TcpListener::bind("127.0.0.1:0")
-            .and_then(|free| free.local_addr())
-            .expect("a port"),
-    );
+    let silent = Backend::start(|_| Reply::Silence);
+    let gone = ReservedPort::new();
     let (node, mut watch, _discovery) = serving_operators(&settings(LONG, ""), &[&silent]);
     let mut clients: Vec<_> = (0..3).map(|_| node.client()).collect();
     clients.iter_mut().for_each(Client::send_correct);
@@ -215,7 +212,7 @@
         9,
         true,
         &[
-            entry("s-1", gone, "in_service"),
+            entry("s-1", gone.address(), "in_service"),
             entry("s-2", silent.address, "terminating"),
         ],
     ));
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -2,6 +2,7 @@
 //! sockets, each crossing forced by a peer that holds something back.
 
 use sillward_scenarios::peers::*;
+use sillward_scenarios::reserved_port::ReservedPort;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Mutex;
@@ -394,9 +395,8 @@
 fn idle_clients_that_fill_the_descriptors_keep_neither_discovery_nor_backends_nor_askers_out() {
     const SOCKETS: usize = 96;
     let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
-    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let at = held.local_addr().expect("its address");
-    drop(held); // down
+    let down = ReservedPort::new();
+    let at = down.address();
     let known = entry("s-0", old.address, "in_service");
     let config = config(at, &settings(LONG, ""), SOCKETS);
     let config = config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]"));
@@ -445,14 +445,11 @@
     let backend = Backend::start(|_| ok("known"));
     let known = entry("s-0", backend.address, "in_service");
     for _ in 0..5 {
-        let free = TcpListener::bind("127.0.0.1:0")
-            .and_then(|free| free.local_addr())
-            .expect("a port");
-        let down = TcpListener::bind("127.0.0.1:0")
-            .and_then(|free| free.local_addr())
-            .expect("a port");
-        let config =
-            config(down, &settings(LONG, ""), 1024).replace("127.0.0.1:0", &free.to_string());
+        let reserved = ReservedPort::new();
+        let free = reserved.address();
+        let down = ReservedPort::new();
+        let config = config(down.address(), &settings(LONG, ""), 1024)
+            .replace("127.0.0.1:0", &free.to_string());
         let config = config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]"));
         let clients = std::thread::spawn(move || {
             let (mut taken, end) = (Vec::new(), Instant::now() + PATIENCE);
--- a/tests/thrift_matrix.rs
+++ b/tests/thrift_matrix.rs
@@ -10,6 +10,7 @@
 mod values;
 
 use sillward_scenarios::peers::{self, Discovery, Node, Watch, config, entry_of, settings, until};
+use sillward_scenarios::reserved_port::ReservedPort;
 use sillward_scenarios::tally::{operator_backend, read_frame};
 use sillward_thrift::wire::{Encoding, Head, Kind, frame};
 use std::collections::BTreeMap;
@@ -288,9 +289,8 @@
 
 /// Starts a server, and waits until it listens.
 fn apache_box(encoding: Encoding, seen: Seen) -> SocketAddr {
-    let free = TcpListener::bind("127.0.0.1:0")
-        .and_then(|free| free.local_addr())
-        .expect("a port");
+    let reserved = ReservedPort::new();
+    let free = reserved.address();
     let mut processor = TMultiplexedProcessor::new();
     processor
         .register("Tally", Box::new(ApacheBox { encoding, seen }), true)
