Test that a backend which drained is cold only if it started anew

What was missing: nothing in the suite held that a backend which drained and then truly started anew is sent little at first, nor that one which drained and never ended is as warm as before.

Change: the test, over real processes, with slow start in the settings. The two places of the file that built its site are one, with the way a node begins as a type.

--- a/tests/etcd_restart.rs
+++ b/tests/etcd_restart.rs
@@ -31,6 +31,21 @@
     Nothing,
 }
 
+/// How a node begins.
+#[derive(Clone, Copy)]
+struct Launch {
+    known: Known,
+    etcd_is_up: bool,
+    /// The settings' rules, as JSON fields.
+    rules: &'static str,
+}
+
+/// The grace alone: a backend that has just started is not sent less than others.
+const WITHOUT_SLOW_START: &str = r#""DrainGrace":2000"#;
+/// A backend that has just started is sent a twentieth of its share, and all of it after 30 s.
+const SLOW_START: &str =
+    r#""DrainGrace":2000,"ColdFrom":0.05,"RampTime":30000,"OverloadFactor":2,"TipAfter":1500"#;
+
 /// What a source says of the backend `a`; `b` is in service in both sources.
 #[derive(Clone, Copy, Debug)]
 struct Said {
@@ -67,11 +82,19 @@
     entry(name, backend.address, said.status).replace("\"since_ms\":0", &since)
 }
 
-fn start_node(etcd: &Etcd, discovery: &Discovery, known: &[String]) -> Node {
+/// The roster's list, which names the same start time for both.
+fn roster_lines(a: &Backend, b: &Backend, a_said: Said) -> [String; 2] {
+    let b_said = said("in_service", a_said.since_ms);
+    [line("a", a, a_said), line("b", b, b_said)]
+}
+
+fn start_node(etcd: &Etcd, discovery: &Discovery, known: &[String], rules: &str) -> Node {
     let operator =
         operator(&[etcd.address], KEEP_ALIVE, "") + "[admin]\nlisten = \"127.0.0.1:0\"\n";
     let known = format!("\"known\":{}", list(7, true, known));
-    let config = config(discovery.address, &settings(LONG, ""), 1024).replace(
+    let settings = settings(LONG, "").replace(WITHOUT_SLOW_START, rules);
+    assert!(settings.contains(rules));
+    let config = config(discovery.address, &settings, 1024).replace(
         r#""known":{"index":7,"snapshot":true,"endpoints":[]}"#,
         &known,
     );
@@ -88,24 +111,32 @@
 
     /// As [`Site::start`], with that list from before the start.
     fn start_with(known: Known, first: First, roster: Said, etcd_says: Said) -> Self {
+        let launch = Launch {
+            known,
+            etcd_is_up: first == First::Etcd,
+            rules: WITHOUT_SLOW_START,
+        };
+        let mut site = Site::launch(launch, roster, etcd_says);
+        site.hear_both(first, roster);
+        site
+    }
+
+    /// A node that has just started and has heard no source.
+    fn launch(launch: Launch, roster: Said, etcd_says: Said) -> Self {
         let (a, b) = (backend("a"), backend("b"));
         let (etcd, discovery) = (Etcd::start(), Discovery::start());
         etcd.put("/tally/a", &line("a", &a, etcd_says), 0);
         let b_in_etcd = said("in_service", etcd_says.since_ms);
         etcd.put("/tally/b", &line("b", &b, b_in_etcd), 0);
-        if first == First::Roster {
+        if !launch.etcd_is_up {
             etcd.down();
         }
-        let lines = [
-            line("a", &a, roster),
-            line("b", &b, said("in_service", roster.since_ms)),
-        ];
-        let known_lines = match known {
-            Known::Roster => &lines[..],
-            Known::Nothing => &[],
+        let known = match launch.known {
+            Known::Roster => roster_lines(&a, &b, roster).to_vec(),
+            Known::Nothing => Vec::new(),
         };
-        let node = start_node(&etcd, &discovery, known_lines);
-        let mut site = Site {
+        let node = start_node(&etcd, &discovery, &known, launch.rules);
+        Site {
             a,
             b,
             etcd,
@@ -113,21 +144,24 @@
             roster: None,
             node,
             version: 8,
-        };
+        }
+    }
+
+    fn hear_both(&mut self, first: First, roster: Said) {
+        let lines = roster_lines(&self.a, &self.b, roster);
         match first {
             First::Roster => {
-                site.open_roster(&lines);
-                site.until_heard("roster");
-                site.etcd.up();
-                site.until_heard("etcd");
+                self.open_roster(&lines);
+                self.until_heard("roster");
+                self.etcd.up();
+                self.until_heard("etcd");
             }
             First::Etcd => {
-                site.until_heard("etcd");
-                site.open_roster(&lines);
-                site.until_heard("roster");
+                self.until_heard("etcd");
+                self.open_roster(&lines);
+                self.until_heard("roster");
             }
         }
-        site
     }
 
     /// Answers the node's next call to discovery with a watch that begins with the whole list.
@@ -165,6 +199,17 @@
         until(|| client.read().body == b"a", "an answer of a");
     }
 
+    /// What `a` gets of the requests that are sent one after another for so long.
+    fn share_of_a(&self, time: Duration) -> f64 {
+        let (began, mut client) = (Instant::now(), self.node.client());
+        let before = (self.a.count(), self.b.count());
+        while began.elapsed() < time {
+            assert_eq!(client.read().status(), 200);
+        }
+        let (a, b) = (self.a.count() - before.0, self.b.count() - before.1);
+        a as f64 / (a + b) as f64
+    }
+
     /// Reads on, and sees that `a` gets nothing once the grace is over, and that nothing is refused or fails.
     fn a_gets_nothing_past_the_grace(&self, what: &str) {
         let (told, mut client) = (Instant::now(), self.node.client());
@@ -229,11 +274,7 @@
     assert_eq!(site.etcd.seen().1, ranges + 1, "a whole list, once");
     site.a_gets_nothing_past_the_grace("after a compaction");
     site.roster.take().expect("an open watch").reset();
-    let lines = [
-        line("a", &site.a, drains),
-        line("b", &site.b, said("in_service", NO_START)),
-    ];
-    site.open_roster(&lines);
+    site.open_roster(&roster_lines(&site.a, &site.b, drains));
     site.a_gets_nothing_past_the_grace("after the roster's watch broke");
 }
 
@@ -252,25 +293,15 @@
 /// more, so it was forgotten, and etcd's older list brought it back.
 #[test]
 fn a_backend_that_the_roster_gave_as_terminated_stays_gone_when_etcd_is_heard() {
+    let launch = Launch {
+        known: Known::Roster,
+        etcd_is_up: false,
+        rules: WITHOUT_SLOW_START,
+    };
     let in_service = said("in_service", NO_START);
-    let (a, b) = (backend("a"), backend("b"));
-    let (etcd, discovery) = (Etcd::start(), Discovery::start());
     let started = said("in_service", now_ms() - 3 * HOUR_MS);
-    etcd.put("/tally/a", &line("a", &a, started), 0);
-    etcd.put("/tally/b", &line("b", &b, started), 0);
-    etcd.down();
-    let lines = [line("a", &a, in_service), line("b", &b, in_service)];
-    let node = start_node(&etcd, &discovery, &lines);
-    let mut site = Site {
-        a,
-        b,
-        etcd,
-        discovery,
-        roster: None,
-        node,
-        version: 8,
-    };
-    site.open_roster(&lines);
+    let mut site = Site::launch(launch, in_service, started);
+    site.open_roster(&roster_lines(&site.a, &site.b, in_service));
     site.until_a_serves();
     let gone = line("a", &site.a, said("terminated", NO_START));
     site.roster_changes(&[gone]);
@@ -314,3 +345,34 @@
         r#""state":"in_service","since_ms":{new_start},"said""#
     ));
 }
+
+/// The share of `a` in the requests of a second, after it drained and returned to service with this start time in etcd.
+fn share_after_the_return(start_of_the_return: impl Fn(u64) -> u64) -> f64 {
+    let first_start = now_ms() - 3 * HOUR_MS;
+    let drains = said("terminating", NO_START);
+    let launch = Launch {
+        known: Known::Roster,
+        etcd_is_up: false,
+        rules: SLOW_START,
+    };
+    let mut site = Site::launch(launch, drains, said("in_service", first_start));
+    site.hear_both(First::Roster, drains);
+    site.a_gets_nothing_past_the_grace("drains");
+    let returned = said("in_service", start_of_the_return(first_start));
+    let in_etcd = line("a", &site.a, returned);
+    site.etcd.put("/tally/a", &in_etcd, 0);
+    let in_roster = line("a", &site.a, said("in_service", NO_START));
+    site.roster_changes(&[in_roster]);
+    site.until_a_serves();
+    site.share_of_a(Duration::from_secs(2))
+}
+
+/// Guards against a backend that drained and started anew and is taken for warm: it gets work again, and at first little of
+/// it. One that drained and never ended is as warm as before.
+#[test]
+fn a_backend_that_drained_is_cold_only_if_it_started_anew() {
+    let anew = share_after_the_return(|_| now_ms());
+    let never_ended = share_after_the_return(|first_start| first_start);
+    assert!(anew < 0.25, "{anew} of the requests, cold");
+    assert!(never_ended > 0.35, "{never_ended} of the requests, warm");
+}
