The id of a request stays in use until the last byte of its response

What callers saw: an unsafe request ran twice. Its client left while a long response was sent to it, or was still reading; the same X-Call-Id came again and went to a backend.

Cause: the id was free as soon as the final response was known, and a response that is forwarded is known by its first bytes.

Change: the call stays registered until the body of its response has been taken. The platform that replaces processes moves from tests/operation.rs to the test servers.

--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -11,7 +11,7 @@
 use crate::request_body::{BodyStart, RequestBody};
 use crate::request_error::RequestError;
 use crate::request_head::{Framing, RequestHead, body_framing};
-use crate::response_body::ResponseBody;
+use crate::response_body::{BodyEnd, ResponseBody};
 use crate::upload_progress::{ReadWaits, UploadProgress};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -55,7 +55,7 @@
     budget: MemoryBudget,
     /// The requests that may be open in the node.
     limit: RequestLimit,
-    open_calls: OpenCalls,
+    open_calls: Rc<OpenCalls>,
 }
 
 /// A client, as far as its requests need it.
@@ -83,6 +83,11 @@
     Readiness { healthy: bool },
     /// A request whose body was read completely.
     Complete(FinalResponse),
+    /// As [`Handled::Complete`], with a response that is still being received. Its call is open until its last byte.
+    Streaming {
+        response: FinalResponse,
+        call: OpenCall,
+    },
     /// A request whose body was not read completely.
     BodyUnread(FinalResponse),
 }
@@ -122,7 +127,7 @@
             connections,
             budget,
             limit,
-            open_calls: OpenCalls::default(),
+            open_calls: Rc::default(),
         })
     }
 
@@ -141,15 +146,22 @@
             Ok(_) => self.connections.after_request(),
         };
         let mut response = match handled {
-            Ok(Handled::Complete(FinalResponse::Streamed {
-                first,
-                length,
-                rest,
-            })) if length.is_some() || !is_http_10 => {
+            Ok(Handled::Streaming {
+                response:
+                    FinalResponse::Streamed {
+                        first,
+                        length,
+                        rest,
+                    },
+                mut call,
+            }) if length.is_some() || !is_http_10 => {
                 let connections = self.connections.clone();
                 connection.response_started();
                 // The request is open until the last byte of its response.
-                let on_end = Box::new(move || {
+                let on_end = Box::new(move |end| {
+                    if end == BodyEnd::Complete {
+                        call.finish();
+                    }
                     connections.request_finished(&connection, after_request);
                 });
                 Response::new(ResponseBody::streamed(first.bytes, length, rest, on_end))
@@ -234,9 +246,8 @@
         };
         let received_at = self.node.clock().now();
         // Backends would treat two open requests with the same call ID as one.
-        let Some(mut open_call) =
-            OpenCall::register(&self.open_calls, &head.call_id, self.node.clock())
-        else {
+        let registered = OpenCall::register(&self.open_calls, &head.call_id, self.node.clock());
+        let Some(mut open_call) = registered else {
             return Err(RequestError::CallIdInUse);
         };
         let mut call = new_call(&head, first, connection, received_at, &settings.platform);
@@ -255,7 +266,9 @@
                     .await
             }
         };
-        open_call.finish();
+        if !is_streamed(&submitted) {
+            open_call.finish();
+        }
         let response = match submitted? {
             StreamedRequest::Ended(response) => response,
             StreamedRequest::BodyTooLate => {
@@ -264,7 +277,13 @@
         };
         let response = response.unwrap_or(FinalResponse::Failed);
         if body.is_ended() {
-            return Ok(Handled::Complete(response));
+            return Ok(match response {
+                FinalResponse::Streamed { .. } => Handled::Streaming {
+                    response,
+                    call: open_call,
+                },
+                response => Handled::Complete(response),
+            });
         }
         discard_in_background(body.into_unread());
         Ok(Handled::BodyUnread(response))
@@ -414,9 +433,21 @@
     }
 }
 
+/// Whether a request has a response that is still being received.
+fn is_streamed(submitted: &Result<StreamedRequest, RequestError>) -> bool {
+    matches!(
+        submitted,
+        Ok(StreamedRequest::Ended(Some(FinalResponse::Streamed { .. })))
+    )
+}
+
 fn buffered_response(handled: Result<Handled, RequestError>) -> Response<ResponseBody> {
     match handled {
-        Ok(Handled::Complete(response) | Handled::BodyUnread(response)) => final_response(response),
+        Ok(
+            Handled::Complete(response)
+            | Handled::Streaming { response, .. }
+            | Handled::BodyUnread(response),
+        ) => final_response(response),
         Ok(Handled::Readiness { healthy }) => health_response(healthy),
         Err(error) => error_response(error),
     }
--- a/crates/http1/src/frontend/open_calls.rs
+++ b/crates/http1/src/frontend/open_calls.rs
@@ -55,18 +55,18 @@
 ///
 /// A call that is dropped before it is finished has lost its client. If a backend may be running it, and must not run it
 /// twice, its identifier stays registered for some time.
-pub(super) struct OpenCall<'a> {
-    open_calls: &'a OpenCalls,
+pub(super) struct OpenCall {
+    open_calls: Rc<OpenCalls>,
     id: HeaderValue,
     clock: Clock,
     /// The progress of a call that must not run twice, until it is finished.
     unfinished: Option<Rc<CallProgress>>,
 }
 
-impl<'a> OpenCall<'a> {
+impl OpenCall {
     /// Registers a call; `None` if its identifier can't be used.
     pub(super) fn register(
-        open_calls: &'a OpenCalls,
+        open_calls: &Rc<OpenCalls>,
         id: &HeaderValue,
         clock: Clock,
     ) -> Option<Self> {
@@ -74,7 +74,7 @@
         identifiers.release_expired(clock.now());
         let is_new = identifiers.in_use.insert(id.clone());
         is_new.then(|| OpenCall {
-            open_calls,
+            open_calls: open_calls.clone(),
             id: id.clone(),
             clock,
             unfinished: None,
@@ -86,13 +86,13 @@
         self.unfinished = Some(progress);
     }
 
-    /// Declares that the call has a final response, or that no backend has received all of it.
+    /// Declares that the final response is complete, or that no backend has received all of it.
     pub(super) fn finish(&mut self) {
         self.unfinished = None;
     }
 }
 
-impl Drop for OpenCall<'_> {
+impl Drop for OpenCall {
     fn drop(&mut self) {
         let mut identifiers = self.open_calls.0.borrow_mut();
         let may_be_running = self
--- a/crates/http1/src/response_body.rs
+++ b/crates/http1/src/response_body.rs
@@ -15,14 +15,28 @@
     Streamed(StreamedBody),
 }
 
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// hyper has taken all of it.
+    Complete,
+    /// hyper has dropped it before, or it could not be received to its end.
+    Incomplete,
+}
+
+/// What is called when a body has ended.
+type OnBodyEnd = Box<dyn FnOnce(BodyEnd)>;
+
 /// A body that is sent to the client while it is received from its backend.
 pub(crate) struct StreamedBody {
     first: Bytes,
     rest: Box<dyn BodyStream>,
     /// The number of bytes that hyper has not taken yet, if known.
     remaining: Option<u64>,
+    /// Whether the backend has sent all of it, where its length is not known.
+    has_ended: bool,
     /// Called when hyper has taken all of the body, or drops it.
-    on_end: Option<Box<dyn FnOnce()>>,
+    on_end: Option<OnBodyEnd>,
 }
 
 impl ResponseBody {
@@ -32,12 +46,13 @@
         first: Bytes,
         length: Option<u64>,
         rest: Box<dyn BodyStream>,
-        on_end: Box<dyn FnOnce()>,
+        on_end: OnBodyEnd,
     ) -> Self {
         ResponseBody::Streamed(StreamedBody {
             first,
             rest,
             remaining: length,
+            has_ended: false,
             on_end: Some(on_end),
         })
     }
@@ -56,7 +71,10 @@
                     let error = io::Error::other("the backend's response is incomplete");
                     return Poll::Ready(Some(Err(error)));
                 }
-                None => return Poll::Ready(None),
+                None => {
+                    self.has_ended = true;
+                    return Poll::Ready(None);
+                }
             }
         } else {
             std::mem::take(&mut self.first)
@@ -66,12 +84,23 @@
             .map(|remaining| remaining.saturating_sub(bytes.len() as u64));
         Poll::Ready(Some(Ok(Frame::data(bytes))))
     }
+
+    fn end(&self) -> BodyEnd {
+        let is_complete = self
+            .remaining
+            .map_or(self.has_ended, |remaining| remaining == 0);
+        if is_complete {
+            BodyEnd::Complete
+        } else {
+            BodyEnd::Incomplete
+        }
+    }
 }
 
 impl Drop for StreamedBody {
     fn drop(&mut self) {
         if let Some(on_end) = self.on_end.take() {
-            on_end();
+            on_end(self.end());
         }
     }
 }
--- a/testing/scenarios/src/lib.rs
+++ b/testing/scenarios/src/lib.rs
@@ -5,5 +5,5 @@
 pub mod scenario;
 
 pub use sillward_test_servers::{
-    etcd, held_request, ledger, peers, random, raw_backend, relay, reserved_port, tally,
+    etcd, held_request, ledger, peers, platform, random, raw_backend, relay, reserved_port, tally,
 };
--- a/testing/servers/src/lib.rs
+++ b/testing/servers/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod held_request;
 pub mod ledger;
 pub mod peers;
+pub mod platform;
 pub mod random;
 pub mod raw_backend;
 pub mod relay;
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -1,9 +1,9 @@
 //! Daily operation over loopback sockets: what operators call, read and change while the node serves.
 
 use sillward_scenarios::peers::*;
+use sillward_scenarios::platform::Platform;
 use sillward_scenarios::reserved_port::ReservedPort;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -328,62 +328,6 @@
 
 // ---- Replacing the process ----------------------------------------------------------------------
 
-/// What the platform holds for a node: its listening socket and an agent that tells every process the same list.
-struct Platform {
-    listener: TcpListener,
-    address: SocketAddr,
-    discovery: Discovery,
-    watches: Vec<Watch>,
-    /// What both processes find as `$TMPDIR`, as it was left.
-    folder: PathBuf,
-}
-
-impl Platform {
-    fn start() -> Self {
-        let folder = file("tmp", "").with_extension("dir");
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("its address");
-        Platform {
-            listener,
-            address,
-            discovery: Discovery::start(),
-            watches: Vec::new(),
-            folder,
-        }
-    }
-
-    fn config(&self) -> String {
-        let config = config_operated(self.discovery.address, &settings(3000, ""));
-        config.replace(
-            r#""listen":"127.0.0.1:0""#,
-            &format!(r#""listen":"{}""#, self.address),
-        )
-    }
-
-    /// Starts a process, which is not told its list yet.
-    fn process(&self) -> Node {
-        Node::inheriting(
-            &self.listener,
-            &self.config(),
-            &[("TMPDIR", &self.folder.to_string_lossy())],
-        )
-    }
-
-    /// Tells the process that calls next.
-    fn tell(&mut self, node: &Node, backend: &Backend) {
-        let mut watch = self.discovery.call();
-        watch.open();
-        watch.line(&list(
-            8,
-            true,
-            &[entry("s-0", backend.address, "in_service")],
-        ));
-        self.watches.push(watch);
-        until(|| node.operate("GET /control/ready").0 == 200, "its yes");
-    }
-}
-
 /// Clients that ask one request after the other, each on a connection that it keeps for as long as the node does. Served
 /// and failed requests; one that finds its connection closed is sent once more, as the protocol has it.
 fn load(address: SocketAddr, end: Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<(usize, usize)>> {
