etcd counts as current only once none of its changes is missing

What callers saw: a backend that etcd listed again was given up, for as long as etcd took to answer, because a removal that the node had withheld took effect after a reconnection. The operators' page gave etcd as current when its changes were missing.

Cause: etcd accepts a watch before it reports that the revisions it asks for are compacted. The node took the source for current at the first response, whatever it said, and only a current source confirms removals.

Change: a resumed watch is up to date at a response other than created, or at a created whose revision is the known one. Only then does the source report that it is connected.

--- a/crates/endpoint-updates/src/event.rs
+++ b/crates/endpoint-updates/src/event.rs
@@ -14,7 +14,7 @@
     Removed(ServerId),
     /// The resync has finished: the complete list has been sent.
     ResyncFinished,
-    /// The source is connected and has nothing new to report.
+    /// The source is connected, and none of its changes is missing.
     Connected,
     /// The source is disconnected; what it sent remains in effect.
     Disconnected,
--- a/crates/etcd/src/publisher.rs
+++ b/crates/etcd/src/publisher.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Reports that etcd is connected and has sent a response.
+    /// Reports that etcd is connected and that none of its changes is missing.
     pub(crate) async fn connected(&self) {
         self.send(SourceEvent::Connected).await;
     }
--- a/crates/etcd/src/session.rs
+++ b/crates/etcd/src/session.rs
@@ -53,7 +53,9 @@
     Listing { revision: i64 },
     /// A watch is being opened.
     OpeningWatch,
-    /// The watch is open.
+    /// The watch is open, but etcd has not sent the changes since the known revision yet, and may have compacted them.
+    CatchingUp,
+    /// The watch is open, and all changes up to the known revision have been received.
     Watching,
 }
 
@@ -107,7 +109,7 @@
         self.endpoint
     }
 
-    /// Whether the watch is open, so that changes in etcd are received as they happen.
+    /// Whether the watch is open and none of the changes before it is missing.
     pub(crate) fn is_watching(&self) -> bool {
         self.state == State::Watching
     }
@@ -133,7 +135,7 @@
             State::Watching => self.backoff.reset(),
             // The known keys were replaced by a partial list, so the complete list must be read again.
             State::Listing { .. } => self.revision = UNKNOWN_REVISION,
-            State::Disconnected | State::OpeningWatch => {}
+            State::Disconnected | State::OpeningWatch | State::CatchingUp => {}
         }
         self.state = State::Disconnected;
         self.endpoint = (self.endpoint + 1) % self.endpoint_count;
@@ -189,7 +191,7 @@
 
     /// Handles a response of the watch.
     pub(crate) fn on_watch_response(&mut self, response: WatchResponse) -> Vec<Action> {
-        if !matches!(self.state, State::OpeningWatch | State::Watching) {
+        if matches!(self.state, State::Disconnected | State::Listing { .. }) {
             return Vec::new();
         }
         let Some(header) = &response.header else {
@@ -208,10 +210,10 @@
             return self.start_list();
         }
         if response.created {
-            self.state = State::Watching;
-            self.backoff.reset();
+            self.on_watch_created(revision);
             return Vec::new();
         }
+        self.state = State::Watching;
         self.on_events(response, revision)
     }
 
@@ -241,6 +243,17 @@
         self.keys.clear();
     }
 
+    /// Handles the creation of the watch at a revision of etcd. etcd accepts a watch before it reports that the first
+    /// revision of the watch is compacted, which it can't be if nothing has changed since the known revision.
+    fn on_watch_created(&mut self, revision: i64) {
+        self.state = if revision == self.revision {
+            State::Watching
+        } else {
+            State::CatchingUp
+        };
+        self.backoff.reset();
+    }
+
     fn on_watch_cancelled(&mut self, response: WatchResponse) -> Vec<Action> {
         if response.compact_revision != 0 {
             return self.start_list();
--- a/crates/etcd/src/session/tests.rs
+++ b/crates/etcd/src/session/tests.rs
@@ -229,6 +229,33 @@
     assert_eq!(session.on_watch_response(again), [put("a", "1")]);
 }
 
+/// Guards against a source that counts as up to date while changes are missing that etcd has compacted.
+#[test]
+fn a_resumed_watch_is_up_to_date_once_the_changes_since_are_received() {
+    let resumed_session = |etcd_revision| {
+        let mut session = watching_session();
+        session.on_disconnected();
+        session.on_connected();
+        assert_eq!(session.on_watch_response(created(1, etcd_revision)), []);
+        session
+    };
+    assert!(resumed_session(10).is_watching(), "nothing has changed");
+    let compacted = WatchResponse {
+        canceled: true,
+        compact_revision: 12,
+        ..events(12, vec![])
+    };
+    let mut session = resumed_session(12);
+    assert!(!session.is_watching(), "only accepted");
+    assert_eq!(session.on_watch_response(compacted), read_first_page());
+    assert!(!session.is_watching(), "before the list");
+    for changes in [vec![], vec![event("a", 12, Some("3"))]] {
+        let mut session = resumed_session(12);
+        session.on_watch_response(events(12, changes));
+        assert!(session.is_watching(), "caught up");
+    }
+}
+
 #[test]
 fn rereads_an_interrupted_list() {
     let mut session = watching_session();
--- a/crates/etcd/src/source.rs
+++ b/crates/etcd/src/source.rs
@@ -86,8 +86,10 @@
             self.publisher.flush().await;
             let watch = watch.as_mut().ok_or(EtcdError::Timeout)?;
             let response = self.next_response(watch).await?;
-            self.publisher.connected().await;
             actions.extend(self.session.on_watch_response(response));
+            if self.session.is_watching() {
+                self.publisher.connected().await;
+            }
             let is_idle = actions.is_empty() && self.session.is_watching();
             if is_idle && Instant::now() >= resync_at {
                 resync_at = Instant::now() + timeouts.resync_interval;
--- a/tests/etcd.rs
+++ b/tests/etcd.rs
@@ -32,9 +32,13 @@
 impl Site {
     /// A node that follows these, with an empty roster, and backends that are in none yet.
     fn new(etcds: &[&Arc<Etcd>], names: &[&str], more: &str) -> Self {
+        Site::with_keep_alive(KEEP_ALIVE, etcds, names, more)
+    }
+
+    /// As [`Site::new`], with a connection to etcd that may say nothing for so long, in milliseconds.
+    fn with_keep_alive(ms: u64, etcds: &[&Arc<Etcd>], names: &[&str], more: &str) -> Self {
         let endpoints: Vec<_> = etcds.iter().map(|etcd| etcd.address).collect();
-        let operator =
-            operator(&endpoints, KEEP_ALIVE, more) + "[admin]\nlisten = \"127.0.0.1:0\"\n";
+        let operator = operator(&endpoints, ms, more) + "[admin]\nlisten = \"127.0.0.1:0\"\n";
         let discovery = Discovery::start();
         let node = Node::start_with(
             &config(discovery.address, &settings(LONG, ""), 1024),
@@ -193,6 +197,47 @@
     site.none_past_the_grace(&["a", "b"]);
 }
 
+/// Guards against a withheld removal that takes effect while etcd's changes since then are compacted away and its list is
+/// not read yet: the node took etcd for up to date as soon as it had accepted the watch.
+#[test]
+fn a_withheld_removal_waits_for_the_list_that_replaces_a_compacted_watch() {
+    const PATIENT_KEEP_ALIVE: u64 = 6000;
+    const GUARD: &str = "guard_percent = 30\nguard_least = 1\nguard_hold_ms = 1000\n";
+    const HELD: &str = r#""held":1}"#;
+    let etcd = Etcd::start();
+    let site = Site::with_keep_alive(PATIENT_KEEP_ALIVE, &[&etcd], &["a", "b", "c"], GUARD);
+    for name in ["a", "b", "c"] {
+        site.put(&etcd, name, "in_service");
+        site.until_served_by(name);
+    }
+    let silent = || site.until_page(r#""name":"etcd","state":"silent""#);
+    etcd.down();
+    silent();
+    etcd.delete(&key("a"));
+    etcd.compact();
+    etcd.up();
+    site.until_page(HELD);
+    etcd.down();
+    silent();
+    site.put(&etcd, "a", "in_service");
+    etcd.compact();
+    // The removal is due, and etcd, which lists the backend again, answers slowly.
+    std::thread::sleep(Duration::from_millis(1500));
+    etcd.behave(Manner {
+        slow: Duration::from_millis(1500),
+        ..Manner::default()
+    });
+    let ranges = etcd.seen().1;
+    etcd.up();
+    while etcd.seen().1 == ranges {
+        let page = site.page();
+        assert!(page.contains(HELD), "{page}");
+    }
+    site.until_page(r#""name":"etcd","state":"current""#);
+    site.until_page(r#""backends":3,"held":0"#);
+    site.until_served_by("a");
+}
+
 /// Without compaction no list is read again: the watch goes on where it was.
 #[test]
 fn a_watch_that_broke_goes_on_from_its_revision() {
