A later configuration whose keyed class lacks its Group is refused

What callers saw: after a new configuration with SIGHUP, requests of a keyed class were repeated in any zone, where the backends of one zone alone drop repeats.

Cause: a later file must have each key that all entries of a list had. A class that is not keyed needs no Group; one that had none made it optional for all, and the default is all of the backends.

Evidence: a file that takes Group from the keyed class is taken where the safe class had none, and refused where each class had it.

Change: Group and Window are required of each keyed class of a later file, unless a keyed class of the process has run without one. The first file of a process is read as before.

--- a/crates/node-config/src/required_keys.rs
+++ b/crates/node-config/src/required_keys.rs
@@ -11,7 +11,9 @@
     "settings.Specifics.PassesDeadline",
     "settings.Specifics.WarmKeys",
 ];
-/// Keys of a class that only keyed classes need.
+/// The list of classes.
+const CLASSES: &str = "settings.Classes";
+/// Keys of a class that only keyed classes need, and that these always need: no default is as strict as what was meant.
 const KEYED_ONLY: [&str; 2] = ["Window", "Group"];
 /// The key of a class that says whether it is keyed, and the value for that.
 const IDEMPOTENCY: &str = "Idempotency";
@@ -77,22 +79,47 @@
 
 /// Entries of a list come and go: each new one needs the keys that all old ones have.
 fn collect_array(path: &str, old: &[Value], new: &[Value], missing: &mut Vec<String>) {
-    let old: Vec<_> = old.iter().filter_map(Value::as_object).collect();
-    let Some((first, others)) = old.split_first() else {
-        return;
-    };
-    let in_all = |key: &&String| others.iter().all(|entry| entry.contains_key(*key));
-    let common: Vec<_> = first.keys().filter(in_all).collect();
+    let old = objects(old);
+    let mut common: Vec<&str> = common_keys(&old);
+    let is_class_list = path == CLASSES;
+    if is_class_list {
+        common.retain(|key| !KEYED_ONLY.contains(key));
+    }
     for (position, entry) in new.iter().enumerate() {
         let Some(entry) = entry.as_object() else {
             continue;
         };
-        let keyed = entry.get(IDEMPOTENCY).is_none_or(|kind| kind == KEYED);
-        for key in &common {
-            let needed = keyed || !KEYED_ONLY.contains(&key.as_str());
-            if needed && !entry.contains_key(key.as_str()) {
-                missing.push(format!("{path}[{position}].{key}"));
-            }
+        let mut needed = common.clone();
+        if is_class_list && is_keyed(entry) {
+            needed.extend(keys_of_keyed_classes(&old));
         }
+        let lacking = needed.iter().filter(|key| !entry.contains_key(**key));
+        missing.extend(lacking.map(|key| format!("{path}[{position}].{key}")));
     }
 }
+
+fn objects(entries: &[Value]) -> Vec<&Map<String, Value>> {
+    entries.iter().filter_map(Value::as_object).collect()
+}
+
+/// The keys that all of these have.
+fn common_keys<'a>(entries: &[&'a Map<String, Value>]) -> Vec<&'a str> {
+    let Some((first, others)) = entries.split_first() else {
+        return Vec::new();
+    };
+    let in_all = |key: &&String| others.iter().all(|entry| entry.contains_key(*key));
+    first.keys().filter(in_all).map(String::as_str).collect()
+}
+
+fn is_keyed(class: &Map<String, Value>) -> bool {
+    class.get(IDEMPOTENCY).is_none_or(|kind| kind == KEYED)
+}
+
+/// The keys of [`KEYED_ONLY`], but for those that a keyed class already runs without.
+fn keys_of_keyed_classes(old: &[&Map<String, Value>]) -> Vec<&'static str> {
+    let in_all_keyed = |key: &&str| {
+        let mut keyed = old.iter().filter(|class| is_keyed(class));
+        keyed.all(|class| class.contains_key(*key))
+    };
+    KEYED_ONLY.into_iter().filter(in_all_keyed).collect()
+}
--- a/crates/node-config/tests/config.rs
+++ b/crates/node-config/tests/config.rs
@@ -151,6 +151,44 @@
     }
 }
 
+/// Guards against a keyed class that loses its group, and is then repeated anywhere, because a class that needs no group has
+/// none either.
+#[test]
+fn rejects_a_keyed_class_without_its_group_whatever_the_other_classes_have() {
+    let class = |name: &str, kind: &str, more: &str| {
+        format!(r#"{{"Name":"{name}","Target":160,"GiveUp":400,"Idempotency":"{kind}"{more}}}"#)
+    };
+    let file = |classes: &[String]| {
+        let classes: Vec<Value> = classes
+            .iter()
+            .map(|class| serde_json::from_str(class).expect("JSON"))
+            .collect();
+        with(|value| value["settings"]["Classes"] = classes.into())
+    };
+    let refusal = |running: &str, later: &str| {
+        let (running, later) = (parsed(running), parsed(later));
+        let settings = running.reloaded_settings(&later, &running.platform);
+        settings.err().map(|error| error.to_string())
+    };
+    let unsafe_class = class("correct", "single_shot", "");
+    let whole = class("submit", "guarded", r#","Group":"zone","Window":600"#);
+    let without_group = class("submit", "guarded", r#","Window":600"#);
+    let running = file(&[whole, unsafe_class.clone()]);
+    let only_unsafe = file(std::slice::from_ref(&unsafe_class));
+    let short = file(&[without_group, unsafe_class]);
+    for before in [&running, &only_unsafe] {
+        let refused = refusal(before, &short).expect("a refusal");
+        assert!(refused.contains("settings.Classes[0].Group"), "{refused}");
+    }
+    for later in [&running, &only_unsafe] {
+        for before in [&running, &only_unsafe] {
+            assert_eq!(refusal(before, later), None);
+        }
+    }
+    // What a node has run with since its start is no worse than before.
+    assert_eq!(refusal(&short, &short), None);
+}
+
 #[test]
 fn reports_all_invalid_values_with_their_keys() {
     for (key, value) in [
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -278,6 +278,24 @@
     assert_eq!(node.figure("node.load_errors"), 0);
 }
 
+/// Guards against a keyed class whose requests are repeated in any zone, because its group was lost and another class has none.
+#[test]
+fn a_keyed_class_without_its_group_is_refused() {
+    const GROUP: &str = r#""Group":"zone","#;
+    let backend = Backend::start(|_| ok("figure"));
+    let first = settings(LONG, "").replacen(GROUP, "", 1);
+    let (node, _watch, discovery) = serving_operators(&first, &[&backend]);
+    node.reload(&config_operated(
+        discovery.address,
+        &first.replacen(GROUP, "", 1),
+    ));
+    node.logged("it lacks settings.Classes[1].Group");
+    assert_eq!(node.figure("node.load_errors"), 1);
+    assert_eq!(node.figure("node.loads"), 0);
+    node.reload(&config_operated(discovery.address, &first));
+    until(|| node.figure("node.loads") == 1, "a good file");
+}
+
 #[test]
 fn broken_settings_change_nothing_and_are_counted() {
     let backend = Backend::start(|_| ok("figure"));
