A node that must ask for its list asks before the first request comes

What callers saw: with RegistryMode ask and a configuration without known a node was not ready until some client sent it a request.

Cause: the decision module began to ask discovery with its first event, and without a known list and without requests there is none.

Change: the node starts the decision module before it waits for messages. The first event still does so where nobody has, as in the simulator.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -137,14 +137,24 @@
         }
     }
 
-    /// Handles an event that happened at `now` and appends the resulting actions to `actions`, in order.
-    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
-        // Time never moves backwards, even if the host's clock does.
-        self.now = now.max(self.now).max(EARLIEST);
+    /// Starts what does not wait for an event, and appends the resulting actions to `actions`. The first event does so as
+    /// well; later calls do nothing.
+    pub fn start(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.advance_to(now);
         let is_first = !std::mem::replace(&mut self.started, true);
         if is_first && self.settings.poll_endpoint_list {
             self.start_polling(actions);
         }
+    }
+
+    /// Time never moves backwards, even if the host's clock does.
+    fn advance_to(&mut self, now: Duration) {
+        self.now = now.max(self.now).max(EARLIEST);
+    }
+
+    /// Handles an event that happened at `now` and appends the resulting actions to `actions`, in order.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        self.start(now, actions);
         match event {
             Event::Settings(settings) => self.on_settings(*settings),
             Event::EndpointList { update, endpoints } => self.on_endpoint_list(update, endpoints),
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -118,6 +118,7 @@
 
     /// Runs the event loop for as long as the process runs.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+        self.start_balancer();
         loop {
             let due = self.timers.next_due();
             let wait = sleep_until(self.clock.instant(due.unwrap_or_default()));
@@ -146,6 +147,17 @@
         }
     }
 
+    /// Lets the decision module begin before the first event: without a known list none may come until it has asked for one.
+    fn start_balancer(&mut self) {
+        let mut actions = Vec::new();
+        self.balancer.start(self.clock.now(), &mut actions);
+        for action in actions {
+            if let Some(event) = self.execute(action) {
+                self.handle_event(event);
+            }
+        }
+    }
+
     /// Passes an event to the decision module and executes its actions, and those of the events that they cause.
     fn handle_event(&mut self, event: Event) {
         let mut events = VecDeque::from([event]);
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -105,6 +105,26 @@
     told_in_time(&asked());
 }
 
+/// Guards against a node that never asks discovery, and is never ready, because it knows no list from before and no request has
+/// come.
+#[test]
+fn a_node_without_a_known_list_asks_for_it_before_the_first_request() {
+    const KNOWN: &str = r#""known":{"index":7,"snapshot":true,"endpoints":[]},"#;
+    for settings in [settings(LONG, ""), asked()] {
+        let discovery = Discovery::start();
+        let config = config_operated(discovery.address, &settings);
+        assert!(config.contains(KNOWN));
+        let node = Node::start(&config.replace(KNOWN, ""), "");
+        let mut watch = discovery.call();
+        watch.open();
+        let backend = Backend::start(|_| ok("figure"));
+        let line = entry("s-0", backend.address, "in_service");
+        watch.line(&list(8, true, &[line]));
+        until(|| node.operate("GET /control/ready").0 == 200, "its yes");
+        assert_eq!(node.client().read().status(), 200);
+    }
+}
+
 /// Many calls fail at once: the next ones come soon, and not at once.
 #[test]
 fn pauses_between_calls_that_fail_do_not_grow_and_are_never_none() {
