etcd counts as current only after the last of the changes that were missed

Callers saw: a backend that etcd lists again had no work while etcd was still sending the changes that the node had missed. A removal that the node withheld took effect after the first of them, though a later one listed the backend again.

Cause: a resumed watch counted as caught up at the first response after `created`, or at the first fragment. etcd sends what a watch has missed in any number of responses.

Evidence: with a stand-in that sends a response a second, one for each revision, the page gave etcd as `current` with two backends after the first of three changes; the third lists the third backend.

Change: the watch is caught up once the known revision has reached the revision at which etcd accepted it, by changes or by progress. The wait for a page in the older test of the same file compared a page with a count that was read before it, which a slow moment between the two could fail; both tests now read the page first, and hold every page that was read before the event.

--- a/crates/etcd/src/session.rs
+++ b/crates/etcd/src/session.rs
@@ -53,9 +53,9 @@
     Listing { revision: i64 },
     /// A watch is being opened.
     OpeningWatch,
-    /// The watch is open, but etcd has not sent the changes since the known revision yet, and may have compacted them.
-    CatchingUp,
-    /// The watch is open, and all changes up to the known revision have been received.
+    /// The watch is open, but etcd has not sent all changes up to this revision yet, and may have compacted them.
+    CatchingUp { until: i64 },
+    /// The watch is open, and all changes up to the revision at which it was opened have been received.
     Watching,
 }
 
@@ -135,7 +135,7 @@
             State::Watching => self.backoff.reset(),
             // The known keys were replaced by a partial list, so the complete list must be read again.
             State::Listing { .. } => self.revision = UNKNOWN_REVISION,
-            State::Disconnected | State::OpeningWatch | State::CatchingUp => {}
+            State::Disconnected | State::OpeningWatch | State::CatchingUp { .. } => {}
         }
         self.state = State::Disconnected;
         self.endpoint = (self.endpoint + 1) % self.endpoint_count;
@@ -213,7 +213,6 @@
             self.on_watch_created(revision);
             return Vec::new();
         }
-        self.state = State::Watching;
         self.on_events(response, revision)
     }
 
@@ -249,11 +248,26 @@
         self.state = if revision == self.revision {
             State::Watching
         } else {
-            State::CatchingUp
+            State::CatchingUp { until: revision }
         };
         self.backoff.reset();
     }
 
+    /// Ends the catching up once the known revision has reached that of etcd when it created the watch. etcd sends the
+    /// changes that a resumed watch has missed in any number of responses.
+    fn on_revision_known(&mut self, header_revision: i64) {
+        let until = match self.state {
+            State::CatchingUp { until } => until,
+            State::OpeningWatch => header_revision,
+            State::Disconnected | State::Listing { .. } | State::Watching => return,
+        };
+        self.state = if self.revision >= until {
+            State::Watching
+        } else {
+            State::CatchingUp { until }
+        };
+    }
+
     fn on_watch_cancelled(&mut self, response: WatchResponse) -> Vec<Action> {
         if response.compact_revision != 0 {
             return self.start_list();
@@ -291,6 +305,7 @@
             .filter_map(|event| self.apply_event(event))
             .collect();
         self.revision = self.revision.max(latest);
+        self.on_revision_known(header_revision);
         actions
     }
 
--- a/crates/etcd/src/session/tests.rs
+++ b/crates/etcd/src/session/tests.rs
@@ -256,6 +256,44 @@
     }
 }
 
+/// Guards against a source that counts as up to date after the first of several responses with the changes that a
+/// resumed watch has missed.
+#[test]
+fn a_resumed_watch_is_up_to_date_only_after_the_last_of_several_responses() {
+    let mut session = watching_session();
+    session.on_disconnected();
+    session.on_connected();
+    session.on_watch_response(created(1, 20));
+    let changes = events(20, vec![event("a", 12, Some("3"))]);
+    assert_eq!(session.on_watch_response(changes), [put("a", "3")]);
+    assert!(!session.is_watching(), "13 to 20 are missing");
+    let fragment = WatchResponse {
+        fragment: true,
+        ..events(20, vec![event("a", 20, Some("4"))])
+    };
+    assert_eq!(session.on_watch_response(fragment), []);
+    assert!(!session.is_watching(), "the rest of revision 20 is missing");
+    let last_fragment = events(20, vec![event("b", 20, None)]);
+    session.on_watch_response(last_fragment);
+    assert!(session.is_watching(), "caught up");
+    // Changes after the creation of the watch are not waited for.
+    session.on_watch_response(events(25, vec![event("a", 21, Some("5"))]));
+    assert!(session.is_watching(), "stays up to date");
+}
+
+/// Guards against a source that is never up to date again because the changes that it has missed are of other prefixes.
+#[test]
+fn a_resumed_watch_is_up_to_date_at_the_progress_that_follows_its_changes() {
+    let mut session = watching_session();
+    session.on_disconnected();
+    session.on_connected();
+    session.on_watch_response(created(1, 20));
+    session.on_watch_response(events(20, vec![event("a", 12, Some("3"))]));
+    assert!(!session.is_watching(), "13 to 20 may be missing");
+    session.on_watch_response(events(20, vec![]));
+    assert!(session.is_watching(), "caught up");
+}
+
 #[test]
 fn rereads_an_interrupted_list() {
     let mut session = watching_session();
--- a/testing/servers/src/etcd.rs
+++ b/testing/servers/src/etcd.rs
@@ -143,9 +143,25 @@
                 });
             }
         }
-        events.sort_by_key(|event| event.kv.as_ref().map_or(0, |kv| kv.mod_revision));
+        events.sort_by_key(event_revision);
         events
     }
+
+    fn responses_by_revision(&self, events: &[Event]) -> Vec<WatchResponse> {
+        let response = |events: &[Event]| WatchResponse {
+            header: self.header(),
+            events: events.to_vec(),
+            ..WatchResponse::default()
+        };
+        events
+            .chunk_by(|one, next| event_revision(one) == event_revision(next))
+            .map(response)
+            .collect()
+    }
+}
+
+fn event_revision(event: &Event) -> i64 {
+    event.kv.as_ref().map_or(0, |kv| kv.mod_revision)
 }
 
 /// How it behaves.
@@ -157,6 +173,8 @@
     pub slow: Duration,
     /// Sends events in fragments of so many; 0 for whole responses.
     pub split: usize,
+    /// Sends the events of each revision in a response of its own, and waits `slow` before each.
+    pub by_revision: bool,
     /// Sends each response of events twice.
     pub twice: bool,
     /// A fault: watches from a compacted revision run on from the present one, as if nothing had been lost.
@@ -625,6 +643,9 @@
                     send(&mut out, encode_frame(&response)).await;
                 }
                 for response in self.responses(create, &manner) {
+                    if manner.by_revision {
+                        sleep(manner.slow).await;
+                    }
                     for kv in response.events.iter().filter_map(|event| event.kv.as_ref()) {
                         let key = String::from_utf8_lossy(&kv.key).into_owned();
                         self.note(Sent::Event(key, kv.mod_revision));
@@ -690,6 +711,9 @@
             return Vec::new();
         }
         create.start_revision = store.revision + 1;
+        if manner.by_revision {
+            return store.responses_by_revision(&events);
+        }
         let part = if manner.split > 0 && create.fragment {
             manner.split
         } else {
--- a/tests/etcd.rs
+++ b/tests/etcd.rs
@@ -1,6 +1,6 @@
 //! Membership from etcd beside the roster, at the real node: compaction, silence, restarts, and what is told then.
 
-use sillward_scenarios::etcd::{Etcd, Manner, operator};
+use sillward_scenarios::etcd::{Etcd, Manner, Sent, operator};
 use sillward_scenarios::peers::{
     Backend, Discovery, Node, Watch, config, entry, list, ok, settings, until,
 };
@@ -109,6 +109,17 @@
     fn until_page(&self, text: &str) {
         until(|| self.page().contains(text), text);
     }
+
+    /// Sees that each page that was read before the event contains the text.
+    fn holds_page_until(&self, text: &str, has_happened: impl Fn() -> bool) {
+        loop {
+            let page = self.page();
+            if has_happened() {
+                return;
+            }
+            assert!(page.contains(text), "{page}");
+        }
+    }
 }
 
 #[test]
@@ -229,10 +240,49 @@
     });
     let ranges = etcd.seen().1;
     etcd.up();
-    while etcd.seen().1 == ranges {
-        let page = site.page();
-        assert!(page.contains(HELD), "{page}");
+    site.holds_page_until(HELD, || etcd.seen().1 > ranges);
+    site.until_page(r#""name":"etcd","state":"current""#);
+    site.until_page(r#""backends":3,"held":0"#);
+    site.until_served_by("a");
+}
+
+/// Guards against a withheld removal that takes effect while etcd is still sending the changes that the node has missed: the
+/// backend lost its work although a later change lists it again.
+#[test]
+fn a_withheld_removal_waits_for_the_last_of_the_changes_that_a_resumed_watch_sends() {
+    const PATIENT_KEEP_ALIVE: u64 = 9000;
+    const GUARD: &str = "guard_percent = 30\nguard_least = 1\nguard_hold_ms = 1000\n";
+    const HELD: &str = r#""held":1}"#;
+    let etcd = Etcd::start();
+    let site = Site::with_keep_alive(PATIENT_KEEP_ALIVE, &[&etcd], &["a", "b", "c"], GUARD);
+    for name in ["a", "b", "c"] {
+        site.put(&etcd, name, "in_service");
+        site.until_served_by(name);
+    }
+    let silent = || site.until_page(r#""name":"etcd","state":"silent""#);
+    etcd.down();
+    silent();
+    etcd.delete(&key("a"));
+    etcd.compact();
+    etcd.up();
+    site.until_page(HELD);
+    etcd.down();
+    silent();
+    for name in ["b", "c", "a"] {
+        site.put(&etcd, name, "in_service");
     }
+    // The removal is due before the change that lists the backend again is sent.
+    std::thread::sleep(Duration::from_millis(1500));
+    etcd.behave(Manner {
+        by_revision: true,
+        slow: Duration::from_millis(1000),
+        ..Manner::default()
+    });
+    let is_of_a = |sent: &Sent| matches!(sent, Sent::Event(changed, _) if *changed == key("a"));
+    let changes_of_a = || etcd.sent().iter().filter(|(_, sent)| is_of_a(sent)).count();
+    let before = changes_of_a();
+    etcd.up();
+    site.holds_page_until(HELD, || changes_of_a() > before);
     site.until_page(r#""name":"etcd","state":"current""#);
     site.until_page(r#""backends":3,"held":0"#);
     site.until_served_by("a");
