The id of a failed request stays in use while a backend may be running it

Callers saw: an unsafe HTTP request that was answered 502, out of time or after its connection to the backend broke, ran a second time when its `X-Call-Id` came again while the backend was still running the first, at the same process or at the other of a node.

Cause: a call counted as finished with any response of its own, also with those that the node gives because it knows no outcome. Only a client that left kept the id.

Evidence: with a backend that holds the first, or breaks its connection, the second request of that id was forwarded and not turned down.

Change: an id is free at once only if a backend has given its complete response, or none has received the whole request. Else the attempts that may have run decide, as for a client that has left.

--- a/crates/http1/src/frontend.rs
+++ b/crates/http1/src/frontend.rs
@@ -280,7 +280,7 @@
                     .await
             }
         };
-        if !is_streamed(&submitted) {
+        if has_run_or_never_will(&submitted) {
             open_call.finish();
         }
         let response = match submitted? {
@@ -447,12 +447,15 @@
     }
 }
 
-/// Whether a request has a response that is still being received.
-fn is_streamed(submitted: &Result<StreamedRequest, RequestError>) -> bool {
-    matches!(
-        submitted,
-        Ok(StreamedRequest::Ended(Some(FinalResponse::Streamed { .. })))
-    )
+/// Whether a backend has given its complete response, or none has received the whole request.
+fn has_run_or_never_will(submitted: &Result<StreamedRequest, RequestError>) -> bool {
+    match submitted {
+        Ok(StreamedRequest::Ended(Some(response))) => {
+            matches!(response, FinalResponse::Complete(_))
+        }
+        Ok(StreamedRequest::Ended(None)) => false,
+        Ok(StreamedRequest::BodyTooLate) | Err(_) => true,
+    }
 }
 
 fn buffered_response(handled: Result<Handled, RequestError>) -> Response<ResponseBody> {
--- a/crates/http1/src/frontend/open_calls.rs
+++ b/crates/http1/src/frontend/open_calls.rs
@@ -1,4 +1,4 @@
-//! The calls that are open, and those that a backend may still be running after their client has left, by their `X-Call-Id`.
+//! The calls that are open, and those that a backend may still be running after their end, by their `X-Call-Id`.
 
 use crate::call_id_exchange::CallIdExchange;
 use hyper::header::HeaderValue;
@@ -67,8 +67,8 @@
 
 /// Keeps a call registered as open until it is dropped.
 ///
-/// A call that is dropped before it is finished has lost its client. If a backend may be running it, and must not run it
-/// twice, its identifier stays registered for some time.
+/// A call that is dropped before it is finished has lost its client, or has failed. If a backend may be running it, and must
+/// not run it twice, its identifier stays registered for some time.
 pub(super) struct OpenCall {
     open_calls: Rc<OpenCalls>,
     id: HeaderValue,
@@ -109,7 +109,7 @@
         self.is_exchanged
     }
 
-    /// Declares that the final response is complete, or that no backend has received all of it.
+    /// Declares that a backend has run the call to its end, or that none has received all of it.
     pub(super) fn finish(&mut self) {
         self.unfinished = None;
     }
--- a/tests/call_ids.rs
+++ b/tests/call_ids.rs
@@ -13,6 +13,9 @@
 
 const LONG: u64 = 20_000;
 const IN_USE: u16 = 409;
+const FAILED: u16 = 502;
+/// Ends before a held request is let go.
+const SHORT: u64 = 300;
 /// The file by which a process finds the one that ran before.
 const CALLS_SOCKET: &str = "sillward-calls.sock";
 /// A path whose requests the backend answers only when the test lets it.
@@ -327,3 +330,60 @@
     assert_eq!(status(&platform, HELD, &headers), IN_USE, "after it left");
     assert_eq!(backend.count(), 1, "runs");
 }
+
+/// Guards against an unsafe request that runs twice because its time was over: its client was answered, and the backend may
+/// still be running it.
+#[test]
+fn an_id_whose_request_ran_out_of_time_is_turned_down_by_both_processes() {
+    let (backend, release) = holding_backend();
+    let mut platform = platform();
+    let older = platform.serving_process(&backend);
+    let headers = common(SHORT);
+    assert_eq!(status(&platform, HELD, &headers), FAILED, "out of time");
+    assert_eq!(
+        status(&platform, HELD, &headers),
+        IN_USE,
+        "the same process"
+    );
+    let _newer = platform.serving_process(&backend);
+    stop_accepting(&older);
+    assert_eq!(
+        status(&platform, HELD, &headers),
+        IN_USE,
+        "the newer process"
+    );
+    assert_eq!(backend.count(), 1, "runs");
+    drop(release);
+}
+
+/// Guards against the same where the connection to the backend broke without a response.
+#[test]
+fn an_id_whose_request_failed_without_a_response_is_turned_down() {
+    let backend = Backend::start(|message| match message.start.as_str() {
+        start if start.starts_with(HELD) => Reply::Break(Vec::new()),
+        _ => ok("done"),
+    });
+    let mut platform = platform();
+    let _node = platform.serving_process(&backend);
+    let headers = common(LONG);
+    assert_eq!(status(&platform, HELD, &headers), FAILED, "no response");
+    assert_eq!(status(&platform, AT_ONCE, &headers), IN_USE);
+    assert_eq!(backend.count(), 1, "runs");
+}
+
+/// Guards against an id that stays in use although every backend turned its request away unread.
+#[test]
+fn an_id_whose_request_never_ran_is_free() {
+    const TURNED_AWAY: &str = "503 Service Unavailable";
+    let backend = Backend::start(|message| match message.start.as_str() {
+        start if start.starts_with(HELD) => {
+            Reply::Answer(TURNED_AWAY, "X-Rejected: 1\r\n", Vec::new())
+        }
+        _ => ok("done"),
+    });
+    let mut platform = platform();
+    let _node = platform.serving_process(&backend);
+    let headers = common(SHORT);
+    assert!(status(&platform, HELD, &headers) >= FAILED);
+    assert_eq!(status(&platform, AT_ONCE, &headers), 200);
+}
