A response goes on for as long as its client acknowledges any of it

Callers saw: a long response was reset in the middle, over HTTP after 15 s and over Thrift after 10 s, although the client was reading it, at some tens of kB a second.

Cause: progress was that the node's kernel accepts further bytes, which it does only once a third of the send buffer is free.

Change: a blocked write makes progress when the client's kernel acknowledges bytes (SIOCOUTQ), looked at only while it is blocked. The timeouts are as they were. The Thrift frontend's own record of progress is gone.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -17,7 +17,7 @@
 /// The maximum number of bytes that are read and discarded on a connection before it is closed.
 pub const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
-/// How long a client may accept no byte of a response before its connection is terminated.
+/// How long a client may acknowledge no byte of a response before its connection is terminated.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a connection without an open request is kept open for the next request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -160,8 +160,7 @@
             ConnectionState::Idle { since } => IdleSince::LastRequest(since),
             ConnectionState::RequestOpen | ConnectionState::Closing { .. } => return None,
         };
-        let unused = self.socket.first_received_at().is_none()
-            && self.socket.write_blocked_since().is_none();
+        let unused = self.socket.first_received_at().is_none() && !self.socket.is_write_blocked();
         unused.then_some(idle_since)
     }
 
@@ -175,7 +174,7 @@
 
     /// Whether writes are blocked because the client does not read.
     pub(crate) fn is_write_blocked(&self) -> bool {
-        self.socket.write_blocked_since().is_some()
+        self.socket.is_write_blocked()
     }
 
     /// Closes or terminates the connection if a timeout has expired.
@@ -192,15 +191,15 @@
     }
 
     fn expired_timeout(&self, now: Instant) -> Option<ExpiredTimeout> {
-        let blocked = self.socket.write_blocked_since();
-        if blocked.is_some_and(|since| now > since + WRITE_TIMEOUT) {
+        let stalled = self.socket.write_stalled_since();
+        if stalled.is_some_and(|since| now > since + WRITE_TIMEOUT) {
             return Some(ExpiredTimeout::Write);
         }
         match self.state.get() {
             ConnectionState::RequestOpen => None,
             // A response with unwritten bytes is not truncated here: the write timeout applies to it.
             ConnectionState::Closing { since } => (now > since + LINGER_TIMEOUT
-                && blocked.is_none())
+                && stalled.is_none())
             .then_some(ExpiredTimeout::Linger),
             ConnectionState::AwaitingFirstRequest => {
                 self.expired_between_requests(now, Some(self.accepted), self.accepted)
--- a/crates/runtime/src/net/tcp_stream.rs
+++ b/crates/runtime/src/net/tcp_stream.rs
@@ -9,6 +9,9 @@
 use std::task::{Context, Poll, Waker, ready};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
+/// The ioctl request `SIOCOUTQ` of tcp(7). Its number is that of `TIOCOUTQ`, on x86-64 and arm64 alike.
+const SIOCOUTQ: rustix::ioctl::Opcode = 0x5411;
+
 /// A TCP connection.
 pub struct TcpStream(Inner);
 
@@ -102,6 +105,14 @@
         }
     }
 
+    /// The number of bytes that were written and that the peer's kernel has not acknowledged; `None` if the kernel can't tell.
+    pub(crate) fn unacknowledged_bytes(&self) -> Option<u64> {
+        match &self.0 {
+            Inner::System(stream) => unacknowledged_bytes(stream).ok(),
+            Inner::Simulated(_) => None,
+        }
+    }
+
     /// As [`AsyncRead::poll_read`], by a shared reference.
     pub(crate) fn poll_read_shared(
         &self,
@@ -152,6 +163,22 @@
     }
 }
 
+#[expect(
+    unsafe_code,
+    reason = "no safe function of a library makes this ioctl request"
+)]
+fn unacknowledged_bytes(stream: &tokio::net::TcpStream) -> io::Result<u64> {
+    // SAFETY: `Getter` requires that the opcode is of a request that writes one value of this type. `SIOCOUTQ` of a TCP
+    // socket writes a C `int`.
+    let count = unsafe {
+        rustix::ioctl::ioctl(
+            stream,
+            rustix::ioctl::Getter::<SIOCOUTQ, std::ffi::c_int>::new(),
+        )
+    }?;
+    u64::try_from(count).map_err(io::Error::other)
+}
+
 // For libraries that read from and write to the stream themselves.
 impl AsyncRead for TcpStream {
     fn poll_read(
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -5,7 +5,11 @@
 use std::io;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How often a blocked write is checked for progress.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A TCP stream.
 pub struct Stream(Rc<Shared>);
@@ -18,8 +22,33 @@
     stream: TcpStream,
     /// When the first bytes were received since [`StreamHandle::reset_first_received`].
     first_received_at: Cell<Option<Instant>>,
-    /// Since when no bytes could be written although some are waiting.
-    write_blocked_since: Cell<Option<Instant>>,
+    blocked_write: Cell<Option<BlockedWrite>>,
+}
+
+/// A write of which the kernel accepts no byte, since the peer has not received enough of those before it.
+#[derive(Clone, Copy)]
+struct BlockedWrite {
+    /// When the write was blocked, or when it was last seen that the peer has acknowledged further bytes.
+    last_progress: Instant,
+    /// The bytes that the peer had not acknowledged when this was last checked; `None` if it was not, or is not known.
+    unacknowledged: Option<u64>,
+}
+
+impl Shared {
+    /// Checks a blocked write for progress, and returns since when it has made none. No bytes are added while it is blocked,
+    /// so that fewer unacknowledged ones are progress. The kernel accepts more only once a third of its buffer is free.
+    fn write_stalled_since(&self) -> Option<Instant> {
+        let mut blocked = self.blocked_write.get()?;
+        let unacknowledged = self.stream.unacknowledged_bytes();
+        if let (Some(before), Some(now)) = (blocked.unacknowledged, unacknowledged)
+            && now < before
+        {
+            blocked.last_progress = Instant::now();
+        }
+        blocked.unacknowledged = unacknowledged;
+        self.blocked_write.set(Some(blocked));
+        Some(blocked.last_progress)
+    }
 }
 
 impl StreamHandle {
@@ -29,10 +58,17 @@
         self.0.upgrade()?.first_received_at.get()
     }
 
-    /// Since when no bytes could be written although some are waiting; `None` if no write is blocked or the stream is
-    /// closed.
-    pub fn write_blocked_since(&self) -> Option<Instant> {
-        self.0.upgrade()?.write_blocked_since.get()
+    /// Whether bytes are waiting to be written and the kernel accepts none.
+    pub fn is_write_blocked(&self) -> bool {
+        self.0
+            .upgrade()
+            .is_some_and(|shared| shared.blocked_write.get().is_some())
+    }
+
+    /// Since when the peer has acknowledged no byte while a write is blocked, as far as calls of this method have seen; `None`
+    /// if no write is blocked or the stream is closed.
+    pub fn write_stalled_since(&self) -> Option<Instant> {
+        self.0.upgrade()?.write_stalled_since()
     }
 
     /// Clears the time at which the first bytes were received.
@@ -70,7 +106,7 @@
         let shared = Rc::new(Shared {
             stream,
             first_received_at: Cell::default(),
-            write_blocked_since: Cell::default(),
+            blocked_write: Cell::default(),
         });
         let handle = StreamHandle(Rc::downgrade(&shared));
         (Stream(shared), handle)
@@ -114,15 +150,26 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = self.0.stream.poll_write_shared(cx, bytes);
-        let blocked_since = &self.0.write_blocked_since;
+        let blocked = &self.0.blocked_write;
         if written.is_ready() {
-            blocked_since.set(None);
-        } else if blocked_since.get().is_none() {
-            blocked_since.set(Some(Instant::now()));
+            blocked.set(None);
+        } else if blocked.get().is_none() {
+            blocked.set(Some(BlockedWrite {
+                last_progress: Instant::now(),
+                unacknowledged: None,
+            }));
         }
         written
     }
 
+    /// Waits until a write has been blocked for `limit` without the peer acknowledging a byte.
+    pub async fn write_stalled_for(&self, limit: Duration) {
+        let is_stalled = |since: Instant| since.elapsed() >= limit;
+        while !self.0.write_stalled_since().is_some_and(is_stalled) {
+            sleep(STALL_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Closes the sending side.
     ///
     /// # Errors
--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A connection is closed after this long without progress in writing replies to it.
+/// A connection is closed after the caller has acknowledged no byte of its replies for this long.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// The most that is read at once: each connection holds as much, and what it has not parsed yet.
 const READ_CHUNK_BYTES: usize = 4 * 1024;
@@ -62,8 +62,6 @@
     unwritten: VecDeque<(Vec<u8>, Option<MemoryReservation>)>,
     /// How many bytes of the first of them have been written.
     written_of_first: usize,
-    /// When bytes were last written, or when the first of the unwritten frames was queued.
-    last_progress: Instant,
     /// Whether a call has been accepted since the connection was last idle.
     busy: bool,
     /// Whether reading has ended because the input is invalid or there is no memory for a frame.
@@ -98,7 +96,6 @@
             open_seqids: BTreeSet::new(),
             unwritten: VecDeque::new(),
             written_of_first: 0,
-            last_progress: Instant::now(),
             busy: false,
             read_closed: false,
             closing: false,
@@ -139,7 +136,7 @@
                 && self.last_bytes != Some(0)
                 && self.unparsed.is_empty();
             let read_bytes = chunk.len().min(self.last_bytes.unwrap_or(usize::MAX));
-            let write_deadline = self.last_progress + WRITE_TIMEOUT;
+            let frame_deadline = self.frame_deadline;
             let first_frame = unwritten
                 .front()
                 .map_or(&[][..], |(frame, _)| &frame[self.written_of_first..]);
@@ -176,12 +173,12 @@
                 () = connection.finish_requested(), if self.last_bytes.is_none() => {
                     self.last_bytes = Some(connection.unread_bytes());
                 }
-                () = sleep_until(self.frame_deadline.unwrap_or(write_deadline)), if self.frame_deadline.is_some() => {
+                () = sleep_until(frame_deadline.unwrap_or_else(Instant::now)), if frame_deadline.is_some() => {
                     self.frame_deadline = None;
                     let beginning = Bytes::copy_from_slice(self.reader.beginning());
                     self.handle_input(Input::SlowFrame(beginning));
                 }
-                () = sleep_until(write_deadline), if !unwritten.is_empty() => return,
+                () = stream.write_stalled_for(WRITE_TIMEOUT), if !unwritten.is_empty() => return,
             }
         }
         self.frontend
@@ -197,15 +194,11 @@
 
     /// Queues a reply. The small frames that the node generates itself have no memory reservation.
     fn queue_reply(&mut self, frame: Vec<u8>, reservation: Option<MemoryReservation>) {
-        if self.unwritten.is_empty() {
-            self.last_progress = Instant::now();
-        }
         self.connection.response_started();
         self.unwritten.push_back((frame, reservation));
     }
 
     fn advance_written(&mut self, count: usize) {
-        self.last_progress = Instant::now();
         self.written_of_first += count;
         if self
             .unwritten
