Test of hundreds of slow uploads and downloads together within the memory limit

No change of the product. Nothing was found, so the test was not seen to fail; the parts that it shares with the older test of the file stand once.

--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -15,8 +15,11 @@
 const DURATION: Duration = Duration::from_secs(6);
 /// Clients of each kind.
 const CLIENTS: usize = 34;
+/// Clients of each kind, where there are two.
+const CLIENTS_OF_TWO: usize = 170;
 const BUDGET_MS: u64 = 2_000;
 const MEMORY_MB: usize = 28;
+const MEMORY_MB_OF_TWO: usize = 32;
 const LONG_RESPONSE_BYTES: usize = 6 << 20;
 /// The longest time of a small request beside the crowd.
 const LONGEST: Duration = Duration::from_millis(BUDGET_MS);
@@ -116,8 +119,8 @@
     thrift_reads_slowly,
 ];
 
-/// Starts the clients of these kinds, each of which connects again and again.
-fn start_crowd(to: SocketAddr, kinds: &[Kind], stop: &Arc<AtomicBool>) {
+/// Starts so many clients of each of these kinds, each of which connects again and again.
+fn start_crowd(to: SocketAddr, kinds: &[Kind], clients: usize, stop: &Arc<AtomicBool>) {
     let one = |kind: &Kind| {
         let (kind, stop) = (*kind, stop.clone());
         spawn(move || {
@@ -135,7 +138,7 @@
     kinds
         .iter()
         .cycle()
-        .take(kinds.len() * CLIENTS)
+        .take(kinds.len() * clients)
         .for_each(one);
 }
 
@@ -154,11 +157,10 @@
     (most, times, served)
 }
 
-/// Guards against a process that is killed for its memory, since clients are slow: buffers and open calls were not counted.
-#[test]
-fn hundreds_of_slow_clients_keep_the_process_within_its_memory() {
+/// A backend that answers a small request at once and any other with a long response.
+fn backend() -> RawBackend {
     let long = with_length(&pattern(LONG_RESPONSE_BYTES));
-    let backend = RawBackend::start(move |_, mut stream| {
+    RawBackend::start(move |_, mut stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         while let Some((head, _)) = request(&mut reader) {
             let response = if head.contains("/submit/") {
@@ -170,33 +172,25 @@
                 return;
             }
         }
-    });
-    let tally = Tally::start(BINARY, |_| tally::ok(&"x".repeat(50_000)));
-    let discovery = Discovery::start();
-    let limits = format!(r#""memory_mb":{MEMORY_MB},"sockets":1024"#);
-    let config = config_with(discovery.address, &settings(BUDGET_MS, ""), &limits);
-    let entries = [
-        entry("m-0", backend.address, "in_service"),
-        entry_of("t", "t-0", tally.address, "in_service"),
-    ];
-    let operator = tally::operator("binary", "connections = 130\n");
-    let (node, _watch, _discovery) = serving_operator(&config, discovery, &operator, &entries);
-    let before = node.memory_kb();
-    let stop = Arc::new(AtomicBool::new(false));
-    start_crowd(node.address, &HTTP, &stop);
-    start_crowd(node.thrift.expect("a Thrift listener"), &THRIFT, &stop);
-    let small = || {
-        let Some(mut client) = Client::try_connect(node.address, PATIENCE) else {
-            return false;
-        };
-        let headers = format!(
-            "{}Idempotency-Key: k\r\nConnection: close\r\n",
-            common(BUDGET_MS)
-        );
-        client.send("POST /submit/1", &headers, b"x");
-        client.answer().is_some_and(|answer| answer.status() == 200)
+    })
+}
+
+/// A small request on a connection of its own; whether it was served.
+fn small_request(node: &Node) -> bool {
+    let Some(mut client) = Client::try_connect(node.address, PATIENCE) else {
+        return false;
     };
-    let (most, times, served) = measure(&node, small);
+    let headers = format!(
+        "{}Idempotency-Key: k\r\nConnection: close\r\n",
+        common(BUDGET_MS)
+    );
+    client.send("POST /submit/1", &headers, b"x");
+    client.answer().is_some_and(|answer| answer.status() == 200)
+}
+
+/// Measures the node beside a crowd until it is stopped, and sees that it keeps to its memory and its time.
+fn keeps_within(memory_mb: usize, node: Node, before: usize, stop: &AtomicBool) {
+    let (most, times, served) = measure(&node, || small_request(&node));
     stop.store(true, Ordering::SeqCst);
     println!(
         "memory {before} kB before, {most} kB at most; {served} of {} small requests served; median {:?}, longest {:?}",
@@ -206,9 +200,9 @@
     );
     drop(node);
     assert!(
-        most < MEMORY_MB * 1024,
+        most < memory_mb * 1024,
         "{most} kB of {} kB",
-        MEMORY_MB * 1024
+        memory_mb * 1024
     );
     assert!(
         times.last().is_some_and(|time| *time < LONGEST),
@@ -216,3 +210,41 @@
         times.last()
     );
 }
+
+/// Guards against a process that is killed for its memory, since clients are slow: buffers and open calls were not counted.
+#[test]
+fn hundreds_of_slow_clients_keep_the_process_within_its_memory() {
+    let backend = backend();
+    let tally = Tally::start(BINARY, |_| tally::ok(&"x".repeat(50_000)));
+    let discovery = Discovery::start();
+    let limits = format!(r#""memory_mb":{MEMORY_MB},"sockets":1024"#);
+    let config = config_with(discovery.address, &settings(BUDGET_MS, ""), &limits);
+    let entries = [
+        entry("m-0", backend.address, "in_service"),
+        entry_of("t", "t-0", tally.address, "in_service"),
+    ];
+    let operator = tally::operator("binary", "connections = 130\n");
+    let (node, _watch, _discovery) = serving_operator(&config, discovery, &operator, &entries);
+    let before = node.memory_kb();
+    let stop = Arc::new(AtomicBool::new(false));
+    start_crowd(node.address, &HTTP, CLIENTS, &stop);
+    let thrift = node.thrift.expect("a Thrift listener");
+    start_crowd(thrift, &THRIFT, CLIENTS, &stop);
+    keeps_within(MEMORY_MB, node, before, &stop);
+}
+
+/// Guards against the same with long requests and long responses alone, which hold the most that a client of either kind can.
+#[test]
+fn slow_uploads_and_downloads_together_keep_the_process_within_its_memory() {
+    let backend = backend();
+    let discovery = Discovery::start();
+    let limits = format!(r#""memory_mb":{MEMORY_MB_OF_TWO},"sockets":1024"#);
+    let config = config_with(discovery.address, &settings(BUDGET_MS, ""), &limits);
+    let entries = [entry("m-0", backend.address, "in_service")];
+    let (node, _watch, _discovery) = serving_operator(&config, discovery, "", &entries);
+    let before = node.memory_kb();
+    let stop = Arc::new(AtomicBool::new(false));
+    let kinds: [Kind; 2] = [http_writes_slowly, http_reads_slowly];
+    start_crowd(node.address, &kinds, CLIENTS_OF_TWO, &stop);
+    keeps_within(MEMORY_MB_OF_TWO, node, before, &stop);
+}
