A process with a Thrift listener can replace another

Operators saw: with `[thrift]` or `[admin]` at a fixed port in the operator file, the process that was to take the other's place ended at once, since its port was in use.

Cause: the platform holds only the socket of the HTTP clients. The addresses of the operator file are bound by each process, and the old one has them until it ends.

Evidence: the new process's last line is `cannot listen on`, with the address; with other ports it starts.

Change: where processes replace each other, an address in use is tried again every 10 ms, beside the serving of HTTP. Other errors end the process as before; one that is alone does not wait.

Connections are refused between the old one's close and the next try.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -22,6 +22,7 @@
 use sillward_thrift::FrontendConfig;
 use std::cell::RefCell;
 use std::fmt::Display;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 
 /// The interval at which a process that exits checks whether requests are still open.
 const OPEN_REQUESTS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// How often a process tries to listen on an address that the process it replaces still has.
+const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What all fronts need.
 pub struct Fronts {
@@ -87,14 +90,51 @@
         }
     }
 
-    fn said(&self, listener: &TcpListener, whom: &str) -> Result<(), String> {
-        let address = listener
-            .local_addr()
-            .map_err(|e| format!("cannot listen: {e}"))?;
-        log(format_args!(
-            "{} listens for {whom} on {address}",
-            self.config.name
-        ));
+    /// Listens on an address of the operator file, and says so in the log. A process that replaces another waits until that
+    /// one has let the address go; it gets `None` if it is told to stop before.
+    fn listen_for(
+        &self,
+        whom: &'static str,
+        address: SocketAddr,
+    ) -> impl Future<Output = Result<Option<TcpListener>, String>> + use<> {
+        let may_wait = self.config.listen_fd.is_some();
+        let name = self.config.name.clone();
+        let told_to_stop = self.told_to_stop();
+        async move {
+            let listener = if may_wait {
+                tokio::select! {
+                    biased;
+                    () = told_to_stop => return Ok(None),
+                    listener = bind_when_free(address) => listener?,
+                }
+            } else {
+                bind(address).await?
+            };
+            log_listener(&name, whom, &listener)?;
+            Ok(Some(listener))
+        }
+    }
+
+    /// Serves operators at the address of the operator file.
+    async fn serve_operators(
+        &self,
+        server: Rc<AdminServer>,
+        address: SocketAddr,
+    ) -> Result<(), String> {
+        let listening = self.listen_for("operators", address);
+        if self.config.listen_fd.is_none() {
+            if let Some(listener) = listening.await? {
+                spawn_local(server.run(listener));
+            }
+            return Ok(());
+        }
+        spawn_local(async move {
+            match listening.await {
+                Ok(Some(listener)) => server.run(listener).await,
+                Ok(None) => {}
+                Err(error) => log(error),
+            }
+        });
         Ok(())
     }
 
@@ -136,8 +176,9 @@
 
     pub async fn thrift(&self, terms: Option<FrontendConfig>) -> Result<(), String> {
         let Some(terms) = terms else { return Ok(()) };
-        let listener = bind(terms.listen).await?;
-        self.said(&listener, "Thrift")?;
+        let Some(listener) = self.listen_for("Thrift", terms.listen).await? else {
+            return Ok(());
+        };
         let connections = ConnectionManager::new(
             self.lifecycle.clone(),
             self.thrift_connections,
@@ -233,7 +274,7 @@
         };
         if let Some(address) = platform {
             let listener = bind(address).await?;
-            self.said(&listener, "operators")?;
+            log_listener(&self.config.name, "operators", &listener)?;
             let mut routes = control::routes(&self.lifecycle, &self.counters, &self.messages);
             routes.extend(
                 (sources.is_some() || fleet.is_some())
@@ -244,9 +285,8 @@
             spawn_local(AdminServer::new(routes, posts()).run(listener));
         }
         if let Some(address) = operator.filter(|address| platform != Some(*address)) {
-            let listener = bind(address).await?;
-            self.said(&listener, "operators")?;
-            spawn_local(AdminServer::new(pages(), posts()).run(listener));
+            let server = AdminServer::new(pages(), posts());
+            self.serve_operators(server, address).await?;
         }
         Ok(())
     }
@@ -285,3 +325,28 @@
         .await
         .map_err(|e| format!("cannot listen on {address}: {e}"))
 }
+
+/// As [`bind`], but waits for as long as another process has the address.
+async fn bind_when_free(address: SocketAddr) -> Result<TcpListener, String> {
+    let mut is_logged = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            bound => return bound.map_err(|e| format!("cannot listen on {address}: {e}")),
+        }
+        if !std::mem::replace(&mut is_logged, true) {
+            log(format_args!(
+                "waits for {address}, where another process listens"
+            ));
+        }
+        sleep(LISTEN_RETRY_INTERVAL).await;
+    }
+}
+
+fn log_listener(node: &str, whom: &str, listener: &TcpListener) -> Result<(), String> {
+    let address = listener
+        .local_addr()
+        .map_err(|e| format!("cannot listen: {e}"))?;
+    log(format_args!("{node} listens for {whom} on {address}"));
+    Ok(())
+}
--- a/testing/servers/src/peers.rs
+++ b/testing/servers/src/peers.rs
@@ -471,6 +471,21 @@
         Node::run(command, path, "")
     }
 
+    /// As [`Node::inheriting`], with an operator file whose listeners it may have to wait for.
+    pub fn inheriting_operated(
+        listener: &TcpListener,
+        config: &str,
+        operator: &str,
+        more: &[(&str, &str)],
+    ) -> Self {
+        let (mut command, path) = inheriting(listener, config);
+        command.envs(more.iter().copied());
+        command
+            .arg("--operator")
+            .arg(file("operator.toml", operator));
+        Node::run(command, path, "")
+    }
+
     /// A node with an operator file that has a Thrift listener or not.
     pub fn start_with(config: &str, operator: &str) -> Self {
         let (mut command, path) = command(config, "");
--- a/testing/servers/src/platform.rs
+++ b/testing/servers/src/platform.rs
@@ -58,6 +58,16 @@
         )
     }
 
+    /// As [`Platform::process`], with an operator file.
+    pub fn operated_process(&self, operator: &str) -> Node {
+        Node::inheriting_operated(
+            &self.listener,
+            &self.config(),
+            operator,
+            &[("TMPDIR", &self.folder.to_string_lossy())],
+        )
+    }
+
     /// Starts a process, and waits until it serves with this backend.
     pub fn serving_process(&mut self, backend: &Backend) -> Node {
         let node = self.process();
@@ -67,13 +77,14 @@
 
     /// Tells the list to the process that calls next, and waits until it serves.
     pub fn tell(&mut self, node: &Node, backend: &Backend) {
+        self.tell_entries(node, &[entry("s-0", backend.address, "in_service")]);
+    }
+
+    /// As [`Platform::tell`], of backends of any kind.
+    pub fn tell_entries(&mut self, node: &Node, entries: &[String]) {
         let mut watch = self.discovery.call();
         watch.open();
-        watch.line(&list(
-            8,
-            true,
-            &[entry("s-0", backend.address, "in_service")],
-        ));
+        watch.line(&list(8, true, entries));
         self.watches.push(watch);
         until(|| node.operate("GET /control/ready").0 == 200, "its yes");
     }
