A process that is being replaced keeps memory for its Thrift calls

Callers saw: from SIGTERM to the end of its listener, 0.5 s, the older of two processes refused all Thrift calls, and answered calls that a backend had run as failed.

Cause: a process that shuts down beside a newer one keeps memory for as long as it has clients, and a backend connection for each of them. Only HTTP clients were counted.

Evidence: 0.2 s after SIGTERM the older process had refused 2395 calls for want of memory and none for the shutdown; before SIGTERM all calls were served, and the newer process did not listen yet.

Change: with a Thrift listener the process keeps the share that it last reported until it exits, which is never more than the newer one was told. Without one nothing changes.

--- a/crates/app/src/fronts.rs
+++ b/crates/app/src/fronts.rs
@@ -68,6 +68,7 @@
             body_bytes: self.config.body_bytes,
         };
         let users = ResourceUsers {
+            has_thrift_callers: self.thrift_connections > 0,
             client_connections: self.client_connections.clone(),
             backend_connections: self.sockets.clone(),
             body_bytes: self.budget.clone(),
--- a/crates/app/src/hot_restart.rs
+++ b/crates/app/src/hot_restart.rs
@@ -35,6 +35,8 @@
 
 /// The parts that use resources.
 pub(crate) struct ResourceUsers {
+    /// Whether Thrift callers are served too. Their connections are not counted.
+    pub(crate) has_thrift_callers: bool,
     pub(crate) client_connections: Rc<ConnectionManager>,
     pub(crate) backend_connections: Rc<ConnectionLimit>,
     pub(crate) body_bytes: MemoryBudget,
@@ -82,8 +84,12 @@
         users: ResourceUsers,
     ) -> Option<Self> {
         let other_process = users.body_bytes.try_reserve(0)?;
+        let mut split = ResourceSplit::new(alone, PROCESS_OVERHEAD);
+        if users.has_thrift_callers {
+            split = split.with_uncounted_clients();
+        }
         let mut this = HotRestart {
-            split: ResourceSplit::new(alone, PROCESS_OVERHEAD),
+            split,
             users,
             other_process,
             alone,
--- a/crates/hot-restart/src/split.rs
+++ b/crates/hot-restart/src/split.rs
@@ -51,6 +51,7 @@
     older: OlderProcess,
     newer: NewerProcess,
     shutting_down: bool,
+    has_uncounted_clients: bool,
 }
 
 impl ResourceSplit {
@@ -63,9 +64,18 @@
             older: OlderProcess::None,
             newer: NewerProcess::None,
             shutting_down: false,
+            has_uncounted_clients: false,
         }
     }
 
+    /// Declares that the process may have clients whose connections are not counted, as those of another protocol. While it
+    /// shuts down, it keeps memory and backend connections for their requests until it exits.
+    #[must_use]
+    pub fn with_uncounted_clients(mut self) -> Self {
+        self.has_uncounted_clients = true;
+        self
+    }
+
     /// Handles an event. A report after the older process has exited is ignored.
     pub fn handle(&mut self, event: Event) {
         match event {
@@ -100,7 +110,7 @@
             NewerProcess::None => own_part,
             NewerProcess::Connected { .. } if !self.shutting_down => own_part.half().max(in_use),
             NewerProcess::Connected { reported } => {
-                Self::limits_at_shutdown(in_use, reported.unwrap_or(in_use))
+                self.limits_at_shutdown(in_use, reported.unwrap_or(in_use))
             }
         }
     }
@@ -108,8 +118,15 @@
     /// The limits of a process that is shutting down while a newer one is running. They are never raised above what was
     /// reported to the newer process, and shrink with each report. Each client may still send one request, over one backend
     /// connection.
-    fn limits_at_shutdown(in_use: Resources, reported: Resources) -> Resources {
+    fn limits_at_shutdown(&self, in_use: Resources, reported: Resources) -> Resources {
         let clients = in_use.client_connections;
+        if self.has_uncounted_clients {
+            let needed = Resources {
+                client_connections: clients,
+                ..reported
+            };
+            return needed.max(in_use);
+        }
         let needed = Resources {
             client_connections: clients,
             backend_connections: clients.max(in_use.backend_connections),
--- a/crates/hot-restart/tests/split.rs
+++ b/crates/hot-restart/tests/split.rs
@@ -44,10 +44,20 @@
 /// exceed the combined limits, as long as the older process alone does not.
 #[test]
 fn two_processes_keep_the_limits_in_every_order_of_events() {
+    keep_the_limits_in_every_order_of_events(ResourceSplit::new(SINGLE, OVERHEAD));
+}
+
+#[test]
+fn two_processes_with_uncounted_clients_keep_the_limits_in_every_order_of_events() {
+    let split = ResourceSplit::new(SINGLE, OVERHEAD).with_uncounted_clients();
+    keep_the_limits_in_every_order_of_events(split);
+}
+
+fn keep_the_limits_in_every_order_of_events(started: ResourceSplit) {
     let mut checked = 0;
     for code in 0..6_usize.pow(6) {
-        let mut old = ResourceSplit::new(SINGLE, OVERHEAD);
-        let mut new = ResourceSplit::new(SINGLE, OVERHEAD);
+        let mut old = started.clone();
+        let mut new = started.clone();
         // What the older process uses when the newer one starts: at most the combined limits.
         let mut old_use = resources(code % 101, code % 61, code % 801);
         let mut new_use = Resources::default();
@@ -117,3 +127,16 @@
     old.handle(Event::NewerExited);
     assert_eq!(old.limits(resources(7, 6, 5)), SINGLE);
 }
+
+/// Guards against Thrift calls for which a process that is being replaced has no memory, since no HTTP client is connected.
+#[test]
+fn a_process_with_uncounted_clients_keeps_its_share_until_it_exits() {
+    let mut old = ResourceSplit::new(SINGLE, OVERHEAD).with_uncounted_clients();
+    old.handle(Event::NewerConnected);
+    assert_eq!(old.report(resources(0, 3, 5)), resources(50, 30, 400));
+    old.handle(Event::Shutdown);
+    assert_eq!(old.limits(resources(0, 3, 5)), resources(0, 30, 400));
+    assert_eq!(old.report(resources(0, 3, 5)), resources(0, 30, 400));
+    old.handle(Event::NewerExited);
+    assert_eq!(old.limits(resources(0, 3, 5)), SINGLE);
+}
