A site with more than 250 tenants takes a new configuration

Operators saw: with 251 tenants any SIGHUP was refused, also with the same file, and a new address of discovery with it.

Cause: names keep their positions for the life of a process, and the limit on names that changing files leave behind also counted those of the file itself.

Evidence: the same file with 300 tenants was refused with the key `Projects`.

Change: of tenants, only those are limited that earlier files had and the new one lacks.

Classes, zones and machine types are limited as before.

--- a/crates/balancer/src/settings/error.rs
+++ b/crates/balancer/src/settings/error.rs
@@ -19,4 +19,12 @@
         /// The most names that a process may receive.
         limit: usize,
     },
+    /// A process has received too many names that were removed since.
+    #[error("settings.{key}: more than {limit} names were removed since the process started")]
+    TooManyRemovedNames {
+        /// The key in the settings.
+        key: &'static str,
+        /// The most names that may have been removed.
+        limit: usize,
+    },
 }
--- a/crates/balancer/src/settings/platform.rs
+++ b/crates/balancer/src/settings/platform.rs
@@ -6,9 +6,11 @@
 use super::report_field::ReportField;
 use std::time::Duration;
 
-/// The most classes, tenants, zones or machine types that a process may have had, including removed ones. Positions are never
-/// reused, so settings that keep changing names would grow without bound.
+/// The most classes, zones or machine types that a process may have had, including removed ones. Positions are never reused,
+/// so settings that keep changing names would grow without bound.
 const MAX_NAMES: usize = 250;
+/// The most tenants that the settings of a process may have had and lack now. The settings may have any number of them.
+const MAX_REMOVED_TENANTS: usize = 250;
 
 /// The platform's settings as a node uses them.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,14 +53,14 @@
     /// settings.
     ///
     /// # Errors
-    /// [`SettingsError::TooManyNames`] if there would be too many names.
+    /// [`SettingsError::TooManyNames`] or [`SettingsError::TooManyRemovedNames`] if there would be too many names.
     pub fn merged_onto(self, old: &PlatformSettings) -> Result<PlatformSettings, SettingsError> {
         let classes = MergedNames::new(&old.class_names, &self.class_names);
         let tenants = MergedNames::new(&old.tenant_names, &self.tenant_names);
         let zones = MergedNames::new(&old.zone_names, &self.zone_names);
         let machine_types = MergedNames::new(&old.machine_type_names, &self.machine_type_names);
         classes.check("Classes")?;
-        tenants.check("Projects")?;
+        tenants.check_removed("Projects", MAX_REMOVED_TENANTS)?;
         zones.check("Localities")?;
         machine_types.check("HostTypes")?;
 
@@ -113,6 +115,15 @@
         Ok(())
     }
 
+    fn check_removed(&self, key: &'static str, limit: usize) -> Result<(), SettingsError> {
+        // No name is twice in the new settings.
+        let removed = self.names.len().saturating_sub(self.positions.len());
+        if removed > limit {
+            return Err(SettingsError::TooManyRemovedNames { key, limit });
+        }
+        Ok(())
+    }
+
     /// Merges items: the new ones at the positions of their names, the old ones elsewhere.
     fn place<T: Clone>(&self, old: &[T], new: &[T]) -> Vec<T> {
         let mut all = old.to_vec();
--- a/crates/node-config/tests/config.rs
+++ b/crates/node-config/tests/config.rs
@@ -295,3 +295,39 @@
     }
     assert!(site.class_names.len() <= 250 && rejected > 700);
 }
+
+/// Guards against a file of a site with many tenants that no later file can replace, not even the same one.
+#[test]
+fn a_later_file_may_have_any_number_of_tenants() {
+    const TENANTS: usize = 300;
+    let file_of = |tenants: std::ops::Range<usize>| {
+        let tenants = tenants
+            .map(|i| serde_json::json!({"Name": format!("t{i}"), "AllowancePerS": 10, "Share": 1}));
+        parsed(&with(|file| {
+            file["settings"]["Projects"] = tenants.collect()
+        }))
+    };
+    let first = file_of(0..TENANTS);
+    let same = first.reloaded_settings(&first, &first.platform);
+    assert_eq!(same.expect("the same file").tenant(b"t299"), Some(299));
+    let another = first.reloaded_settings(&file_of(1..TENANTS + 1), &first.platform);
+    let another = another.expect("one more, and one less");
+    assert_eq!(
+        (another.tenant(b"t0"), another.tenant(b"t300")),
+        (None, Some(300))
+    );
+}
+
+#[test]
+fn rejects_more_removed_tenants_than_a_process_may_know() {
+    let first = parsed(FILE);
+    let (mut site, mut rejected) = (first.platform.clone(), 0);
+    for i in 0..1000 {
+        let text = with(|file| file["settings"]["Projects"][0]["Name"] = format!("t{i}").into());
+        match first.reloaded_settings(&parsed(&text), &site) {
+            Ok(next) => site = next,
+            Err(what) => rejected += usize::from(what.to_string().contains("settings.Projects")),
+        }
+    }
+    assert!(site.tenant_names.len() <= 252 && rejected > 700);
+}
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -372,6 +372,22 @@
         .collect()
 }
 
+/// Guards against a site with many tenants that can't be given another address of discovery, since each new file is refused.
+#[test]
+fn a_site_with_many_tenants_takes_a_new_configuration() {
+    let backend = Backend::start(|_| ok("figure"));
+    let names = (0..300).map(|i| format!(r#"{{"Name":"t{i}","AllowancePerS":1000,"Share":1}},"#));
+    let all: String = names.collect();
+    let settings =
+        settings(LONG, "").replacen(r#""Projects":["#, &format!(r#""Projects":[{all}"#), 1);
+    let (node, _watch, _discovery) = serving_operators(&settings, &[&backend]);
+    let moved = Discovery::start();
+    node.reload(&config_operated(moved.address, &settings));
+    until(|| node.figure("node.loads") == 1, "the new file");
+    moved.call();
+    assert_eq!(node.figure("node.load_errors"), 0);
+}
+
 #[test]
 fn a_process_takes_the_place_of_another_under_load_and_no_request_is_lost() {
     let backend = Backend::start(|_| {
