A drain by one of several etcd keys counts in a whole list

Callers saw: a backend that two keys in etcd name, one of them as terminating, had its full share of requests from a node that was started or whose watch was compacted, if the mark's key comes first in the order of keys.

Cause: each key's value was the source's report on its backend, and the last one counted.

Evidence: with the mark at a key before the backend's own, 48 of 100 requests after the grace went to it; with the mark at a key behind it, none.

--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod error;
 mod grpc;
+mod listed_backends;
 pub mod proto;
 mod publisher;
 mod session;
--- a/crates/etcd/src/publisher.rs
+++ b/crates/etcd/src/publisher.rs
@@ -1,5 +1,6 @@
 //! Converts keys and their values to the events of an endpoint source.
 
+use crate::listed_backends::ListedBackends;
 use bytes::Bytes;
 use sillward_balancer::ServerId;
 use sillward_endpoint_updates::SourceEvent;
@@ -24,6 +25,8 @@
     current: BTreeMap<Bytes, Backend>,
     /// The values from before the list that is being read.
     previous: BTreeMap<Bytes, Backend>,
+    /// The backends of the list that is being read.
+    listed: ListedBackends,
     /// The endpoints of the next event.
     batch: Vec<Backend>,
     is_listing: bool,
@@ -36,6 +39,7 @@
             events,
             current: BTreeMap::new(),
             previous: BTreeMap::new(),
+            listed: ListedBackends::default(),
             batch: Vec::new(),
             is_listing: false,
         }
@@ -45,6 +49,7 @@
     pub(crate) async fn begin_list(&mut self) {
         // If an earlier list was interrupted, `previous` still holds values from before it.
         self.previous.append(&mut self.current);
+        self.listed.clear();
         self.is_listing = true;
         self.send(SourceEvent::ResyncStarted).await;
     }
@@ -53,6 +58,7 @@
     pub(crate) async fn end_list(&mut self) {
         self.flush().await;
         self.previous.clear();
+        self.listed.clear();
         self.is_listing = false;
         self.send(SourceEvent::ResyncFinished).await;
     }
@@ -67,7 +73,12 @@
         if let Some(old) = old.filter(|old| old.endpoint.id != id) {
             self.remove_if_unlisted(old.endpoint.id).await;
         }
-        self.batch.push(backend);
+        let reported = if self.is_listing {
+            self.listed.add(backend)
+        } else {
+            backend
+        };
+        self.batch.push(reported);
         if self.batch.len() >= MAX_BATCH_ENDPOINTS {
             self.flush().await;
             if self.is_listing {
--- a/tests/etcd.rs
+++ b/tests/etcd.rs
@@ -288,6 +288,35 @@
     site.until_served_by("a");
 }
 
+/// Guards against work for a draining backend that two keys name: in a whole list the last of them counted, whatever the other
+/// said.
+#[test]
+fn a_backend_that_one_of_two_keys_drains_gets_nothing_after_a_whole_list() {
+    let etcd = Etcd::start();
+    let site = Site::new(&[&etcd], &["a", "b"], "");
+    for name in ["a", "b"] {
+        site.put(&etcd, name, "in_service");
+        site.until_served_by(name);
+    }
+    for first_in_the_list in [true, false] {
+        let mark = key(if first_in_the_list {
+            "a-mark"
+        } else {
+            "c-mark"
+        });
+        etcd.down();
+        site.until_page(r#""name":"etcd","state":"silent""#);
+        etcd.put(&mark, &site.line("b", "terminating"), 0);
+        etcd.compact();
+        etcd.up();
+        site.until_page(r#""name":"etcd","state":"current""#);
+        site.none_past_the_grace(&["b"]);
+        etcd.delete(&mark);
+        site.put(&etcd, "b", "in_service");
+        site.until_served_by("b");
+    }
+}
+
 /// Without compaction no list is read again: the watch goes on where it was.
 #[test]
 fn a_watch_that_broke_goes_on_from_its_revision() {
