A backend is as its other etcd keys say once one of its keys is deleted

Operators saw: a backend that two keys in etcd name got no work after the key that drained it was deleted, until its own key was put again or the whole list was read.

Cause: the deletion of a key was not reported where another key names the backend, so that its value stayed the source's last report.

Evidence: with the mark's key deleted and the backend's own in service, no request reached it in 30 s.

Change: the deletion reports what the other keys say, with the strictest state among them. If the key in service goes and the mark stays, the backend stays drained.

Result: the new test failed before and passes, as do the other tests of etcd.

--- a/crates/etcd/src/listed_backends.rs
+++ b/crates/etcd/src/listed_backends.rs
@@ -1,16 +1,16 @@
-//! What a complete list says of backends that several of its keys name.
+//! What keys say together of a backend that several of them name.
 
 use sillward_balancer::{ServerId, ServerState};
 use sillward_endpoints::MAX_CLOCK_SKEW;
 use sillward_forwarding::Backend;
 use std::collections::HashMap;
 
-/// The backends of the complete list that is being read, each as the keys read so far give it.
+/// Backends, each as the keys that were added give it.
 #[derive(Default)]
 pub(crate) struct ListedBackends(HashMap<ServerId, Backend>);
 
 impl ListedBackends {
-    /// Adds the value of a key, and returns the backend as all keys read so far give it.
+    /// Adds the value of a key, and returns the backend as all keys that were added give it.
     pub(crate) fn add(&mut self, backend: Backend) -> Backend {
         let id = backend.endpoint.id;
         let merged = match self.0.remove(&id) {
@@ -21,13 +21,13 @@
         merged
     }
 
-    /// Forgets the list.
+    /// Forgets all keys.
     pub(crate) fn clear(&mut self) {
         self.0.clear();
     }
 }
 
-/// Merges the values of two keys of one list. The merged state is as strict as that of either, unless one is known to refer
+/// Merges the values of two keys. The merged state is as strict as that of either, unless one is known to refer
 /// to an earlier incarnation of the backend: then the other one counts alone.
 fn merge(first: Backend, second: Backend) -> Backend {
     if precedes(&first, &second) {
--- a/crates/etcd/src/publisher.rs
+++ b/crates/etcd/src/publisher.rs
@@ -71,7 +71,7 @@
         let id = backend.endpoint.id;
         let old = self.current.insert(key, backend.clone());
         if let Some(old) = old.filter(|old| old.endpoint.id != id) {
-            self.remove_if_unlisted(old.endpoint.id).await;
+            self.report_without_key(old.endpoint.id).await;
         }
         let reported = if self.is_listing {
             self.listed.add(backend)
@@ -90,7 +90,7 @@
     /// Applies the deletion of a key.
     pub(crate) async fn delete(&mut self, key: &Bytes) {
         if let Some(old) = self.current.remove(key) {
-            self.remove_if_unlisted(old.endpoint.id).await;
+            self.report_without_key(old.endpoint.id).await;
         }
     }
 
@@ -129,15 +129,20 @@
         }
     }
 
-    /// Reports the removal of an endpoint that a key no longer names, unless another key names it.
-    async fn remove_if_unlisted(&mut self, id: ServerId) {
+    /// Reports an endpoint that a key no longer names: its removal, or what the other keys say that name it.
+    async fn report_without_key(&mut self, id: ServerId) {
         self.flush().await;
-        if !self
+        let mut others = ListedBackends::default();
+        let named = |backend: &&Backend| backend.endpoint.id == id;
+        let merged = self
             .current
             .values()
-            .any(|backend| backend.endpoint.id == id)
-        {
-            self.send(SourceEvent::Removed(id)).await;
+            .filter(named)
+            .map(|backend| others.add(backend.clone()))
+            .last();
+        match merged {
+            Some(backend) => self.batch.push(backend),
+            None => self.send(SourceEvent::Removed(id)).await,
         }
     }
 
--- a/tests/etcd.rs
+++ b/tests/etcd.rs
@@ -317,6 +317,28 @@
     }
 }
 
+/// Guards against a backend that stays drained after the key that drained it is gone, while another key names it in service.
+#[test]
+fn a_backend_gets_work_again_once_the_key_that_drained_it_is_deleted() {
+    let etcd = Etcd::start();
+    let site = Site::new(&[&etcd], &["a", "b"], "");
+    for name in ["a", "b"] {
+        site.put(&etcd, name, "in_service");
+        site.until_served_by(name);
+    }
+    let mark = key("mark");
+    etcd.put(&mark, &site.line("b", "terminating"), 0);
+    site.until_page(r#""state":"terminating""#);
+    site.none_past_the_grace(&["b"]);
+    etcd.delete(&mark);
+    site.until_served_by("b");
+    // The other way round: the backend's own key goes, and the mark stays.
+    etcd.put(&mark, &site.line("b", "terminating"), 0);
+    etcd.delete(&key("b"));
+    site.until_page(r#""state":"terminating""#);
+    site.none_past_the_grace(&["b"]);
+}
+
 /// Without compaction no list is read again: the watch goes on where it was.
 #[test]
 fn a_watch_that_broke_goes_on_from_its_revision() {
