Replies of a Thrift connection in a module of their own

The session had the queue of replies as a list of pairs and a count beside it, and wrote, advanced and summed it in four places. ReplyQueue is that queue, with a named reply, and the session says only what to write and how much of it was taken.

No change of behaviour: the tests of Thrift, reply order, slow peers, limits, memory and replacement pass as before.

--- a/crates/thrift/src/frontend/session.rs
+++ b/crates/thrift/src/frontend/session.rs
@@ -2,12 +2,14 @@
 
 mod input;
 mod rejections;
+mod reply_queue;
 
 use super::Frontend;
 use crate::calls::{self, ReplyContext, ValidatedCall};
 use crate::wire::{FrameProgress, FrameReader};
 use bytes::Bytes;
 use input::Input;
+use reply_queue::ReplyQueue;
 use sillward_balancer::NewRequest;
 use sillward_forwarding::{Call, FinalResponse, MemoryReservation, RequestPermit};
 use sillward_listener::{AfterRequest, ClientConnection, READ_TIMEOUT};
@@ -59,9 +61,7 @@
     /// The sequence numbers of the calls in flight that have a reply.
     open_seqids: BTreeSet<i32>,
     /// Frames of replies that have not been written completely.
-    unwritten: VecDeque<(Vec<u8>, Option<MemoryReservation>)>,
-    /// How many bytes of the first of them have been written.
-    written_of_first: usize,
+    unwritten: ReplyQueue,
     /// Whether a call has been accepted since the connection was last idle.
     busy: bool,
     /// Whether reading has ended because the input is invalid or there is no memory for a frame.
@@ -94,8 +94,7 @@
             oneway_permit: None,
             calls: JoinSet::new(),
             open_seqids: BTreeSet::new(),
-            unwritten: VecDeque::new(),
-            written_of_first: 0,
+            unwritten: ReplyQueue::default(),
             busy: false,
             read_closed: false,
             closing: false,
@@ -137,9 +136,7 @@
                 && self.unparsed.is_empty();
             let read_bytes = chunk.len().min(self.last_bytes.unwrap_or(usize::MAX));
             let frame_deadline = self.frame_deadline;
-            let first_frame = unwritten
-                .front()
-                .map_or(&[][..], |(frame, _)| &frame[self.written_of_first..]);
+            let reply_bytes = unwritten.next_bytes();
             tokio::select! {
                 biased;
                 Some(done) = calls.join_next(), if !calls.is_empty() => {
@@ -153,8 +150,8 @@
                         Err(_) => return,
                     }
                 }
-                count = stream.write(first_frame), if !first_frame.is_empty() => match count {
-                    Ok(count) if count > 0 => self.advance_written(count),
+                count = stream.write(reply_bytes), if !reply_bytes.is_empty() => match count {
+                    Ok(count) if count > 0 => self.unwritten.advance(count),
                     _ => return,
                 },
                 count = stream.read(&mut chunk[..read_bytes]), if may_read => match count {
@@ -195,19 +192,7 @@
     /// Queues a reply. The small frames that the node generates itself have no memory reservation.
     fn queue_reply(&mut self, frame: Vec<u8>, reservation: Option<MemoryReservation>) {
         self.connection.response_started();
-        self.unwritten.push_back((frame, reservation));
-    }
-
-    fn advance_written(&mut self, count: usize) {
-        self.written_of_first += count;
-        if self
-            .unwritten
-            .front()
-            .is_some_and(|(frame, _)| self.written_of_first >= frame.len())
-        {
-            self.unwritten.pop_front();
-            self.written_of_first = 0;
-        }
+        self.unwritten.push(frame, reservation);
     }
 
     /// Parses frames from the bytes that were read, until one of them has to wait.
@@ -217,8 +202,7 @@
                 self.handle_input(input);
             }
         }
-        let unwritten: usize = self.unwritten.iter().map(|(frame, _)| frame.len()).sum();
-        if unwritten > MAX_UNWRITTEN_BYTES {
+        if self.unwritten.frame_bytes() > MAX_UNWRITTEN_BYTES {
             return;
         }
         while self.waiting.is_none() && !self.read_closed && !self.unparsed.is_empty() {
